--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+VENV ?= .venv
+PYTHON ?= python3
+RUN = $(VENV)/bin/python
+READY = $(VENV)/.ready
+
+.PHONY: demo serve test check format clean
+
+demo: $(READY)
+	$(RUN) -m caperstack.bench.demo
+
+serve: $(READY)
+	$(RUN) -m caperstack.bench.demo --serve
+
+test: $(READY)
+	$(RUN) -m nose2
+
+check: $(READY)
+	$(VENV)/bin/black --check --quiet caperstack
+	$(VENV)/bin/ruff check caperstack
+
+format: $(READY)
+	$(VENV)/bin/black --quiet caperstack
+	$(VENV)/bin/ruff check --fix caperstack
+
+$(READY): requirements.txt requirements-dev.txt pyproject.toml
+	$(PYTHON) -c 'import sys; sys.exit(sys.version_info < (3, 11) and "Python 3.11 or later is needed")'
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check --no-deps --editable .
+	touch $(READY)
+
+clean:
+	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/caperstack/admission/__init__.py
@@ -0,0 +1,1 @@
+"""The owner's decision: run, queue or refuse."""
--- /dev/null
+++ b/caperstack/admission/owner.py
@@ -0,0 +1,353 @@
+"""The owner: the exact decision beside the backend server."""
+
+import asyncio
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from caperstack.admission.limit import FailureShare, ServiceTimes, SlotLimit
+from caperstack.admission.queue import AdmissionQueue
+from caperstack.calls.model import Answered, Load, NotRun, ServerState, Unknown
+from caperstack.clock import deadline_after, now, time_left
+from caperstack.exception import BackendError
+
+__all__ = ["Owner"]
+
+#: Waiting calls per slot; more would wait longer than a move elsewhere takes.
+QUEUE_PER_SLOT = 2
+
+#: How long and how many ended or revoked calls are remembered, so that a
+#: revocation that comes late is answered truthfully.
+MEMORY_SECONDS = 60.0
+MEMORY_CALLS = 20_000
+
+#: Answers up to this size are kept for an entry that lost its connection.
+KEPT_ANSWER_BYTES = 64 * 1024
+
+#: How long an answered call shows that the backend server lives, in seconds.
+ANSWERING_SECONDS = 2.0
+
+#: How often the running loop looks at itself, and how late makes a pause.
+TICK_SECONDS = 0.1
+PAUSE_SECONDS = 0.5
+
+#: How long calls are refused after a pause: what arrived in it is read at once.
+AFTER_PAUSE_SECONDS = 0.05
+
+
+@dataclass(slots=True)
+class _Record:
+    forget_at: float
+    outcome: asyncio.Future
+    dispatched: bool = False
+    task: asyncio.Task = None
+
+
+class Owner:
+    """Admit, queue, run or refuse calls for the one backend server beside this node.
+
+    Every call to the backend server passes here, so the calls in flight, the
+    free slots and the recent service times are known exactly and for nothing.
+
+    Parameters
+    ----------
+    settings : caperstack.config.start.BackendSettings
+        The backend server.
+    client : object
+        With ``async fetch(call)``, as `caperstack.backend.client.BackendClient`.
+    """
+
+    def __init__(self, settings, client):
+        self._settings = settings
+        self._client = client
+        self._times = ServiceTimes()
+        self._limit = SlotLimit(settings.slots, self._times)
+        self._queue = AdmissionQueue(settings.slots * QUEUE_PER_SLOT)
+        self._failures = FailureShare()
+        self._published = 0
+        self._running = 0
+        self._records = OrderedDict()
+        self._ticked_at = now()
+        self._suspect_until = 0.0
+        self._ticker = None
+        self._state = ServerState.WARM
+        self._answering_until = 0.0
+        self.node_leaves = False
+        self._metrics = None
+        self._events = None
+
+    @property
+    def state(self):
+        """The `ServerState` that this owner tells everyone."""
+        return self._state
+
+    @property
+    def answering(self):
+        """Whether the backend server has answered a call lately."""
+        return now() < self._answering_until
+
+    @property
+    def idle(self):
+        """Whether no call runs or waits."""
+        return self._running == 0 and len(self._queue) == 0
+
+    @property
+    def load(self):
+        """The exact `Load` now."""
+        return Load(
+            self._running,
+            len(self._queue),
+            self._limit.limit,
+            int(self._times.recent * 1e6),
+            self._state,
+            self._failures.percent,
+            self._published,
+        )
+
+    async def start(self, kernel):
+        """Start watching for pauses of this process."""
+        self._metrics = kernel.find("metrics")
+        self._events = kernel.find("events")
+        self._ticked_at = now()
+        self._ticker = asyncio.create_task(self._tick())
+
+    async def stop(self):
+        """Stop; waiting calls are refused, running ones have ended before."""
+        self._queue.refuse_all("node stops")
+        self._ticker.cancel()
+
+    def leave(self):
+        """The node itself stops: refuse new calls from now on, for good."""
+        self.node_leaves = True
+        self.set_state(ServerState.LEAVING)
+
+    def set_state(self, state):
+        """Tell everyone `state` from now on; LEAVING and DOWN refuse new calls.
+
+        Returns
+        -------
+        bool
+            Whether the state changed.
+        """
+        if state == self._state:
+            return False
+        self._events.state("backend server", old=self._state, new=state)
+        self._state = state
+        if state in (ServerState.LEAVING, ServerState.DOWN):
+            self._queue.refuse_all("backend server is leaving")
+        return True
+
+    def set_published(self, in_flight):
+        """Note what the backend server's load endpoint gave."""
+        self._published = in_flight
+
+    def start_cold(self):
+        """The backend server has just started: begin with few slots."""
+        self._limit.start_cold()
+
+    async def run(self, call):
+        """Run `call` or refuse it; return its `Outcome`.
+
+        Notes
+        -----
+        The outcome is remembered under the call's identifier.  A call that
+        was revoked before it arrived meets the record of the revocation and
+        is refused.
+        """
+        record = self._records.get((call.origin, call.id))
+        if record is not None:
+            return NotRun("revoked before it arrived", 0.0)
+        record = self._remember((call.origin, call.id))
+        record.task = asyncio.current_task()
+        outcome = None
+        try:
+            outcome = await self._admit_and_run(call, record)
+        except Exception as error:
+            # A fault in this program must not leave a caller without an answer.
+            self._events.state("fault", "none", f"{type(error).__name__}: {error}")
+            outcome = _broken_off("internal error", record)
+        finally:
+            self._settle(record, outcome or _broken_off("cancelled", record))
+        return outcome
+
+    async def revoke(self, origin, number):
+        """Stop a call that has not been dispatched, and return how it ended.
+
+        Returns
+        -------
+        Outcome
+            `NotRun` is proof: the call never will run here.  A call that was
+            dispatched is waited for, its answer is the answer.
+        """
+        record = self._records.get((origin, number))
+        if record is None:
+            record = self._remember((origin, number))
+            record.outcome.set_result(NotRun("revoked before it arrived", 0.0))
+        elif not record.dispatched and record.task is not None and not record.outcome.done():
+            record.task.cancel()
+        return await asyncio.shield(record.outcome)
+
+    def abandon(self, origin, number):
+        """Cancel call `number` of host `origin`; nobody waits for its answer."""
+        record = self._records.get((origin, number))
+        if record is None:
+            record = self._remember((origin, number))
+            record.outcome.set_result(NotRun("revoked before it arrived", 0.0))
+        elif record.task is not None and not record.outcome.done():
+            record.task.cancel()
+
+    def _remember(self, key):
+        self._forget_old()
+        record = _Record(deadline_after(MEMORY_SECONDS), asyncio.get_running_loop().create_future())
+        self._records[key] = record
+        return record
+
+    def _forget_old(self):
+        moment = now()
+        while self._records:
+            key, record = next(iter(self._records.items()))
+            if not record.outcome.done():
+                self._records.move_to_end(key)
+                return
+            if record.forget_at > moment and len(self._records) < MEMORY_CALLS:
+                return
+            del self._records[key]
+
+    def _settle(self, record, outcome):
+        if record.outcome.done():
+            return
+        record.task = None
+        if isinstance(outcome, Answered) and len(outcome.body) > KEPT_ANSWER_BYTES:
+            record.outcome.set_result(Unknown("ran, but its answer is no longer held"))
+            return
+        record.outcome.set_result(outcome)
+
+    async def _admit_and_run(self, call, record):
+        refusal = await self._admit(call)
+        if refusal is not None:
+            self._metrics.refused(refusal.reason)
+            return refusal
+        try:
+            refusal = self._last_check(call)
+            if refusal is not None:
+                self._metrics.refused(refusal.reason)
+                return refusal
+            record.dispatched = True
+            return await self._dispatch(call)
+        finally:
+            self._release()
+
+    async def _admit(self, call):
+        """Take a slot and return ``None``, or return the `NotRun` that refuses."""
+        if self._state in (ServerState.LEAVING, ServerState.DOWN):
+            return NotRun("backend server is leaving", 0.0)
+        refusal = self._last_check(call)
+        if refusal is not None:
+            return refusal
+        self._limit.adjust()
+        if self._running < self._limit.limit and not len(self._queue):
+            self._running += 1
+            return None
+        return await self._wait_for_slot(call)
+
+    async def _wait_for_slot(self, call):
+        wait = self._expected_wait(call)
+        last_start = min(call.queue_until, call.deadline - self._times.usual)
+        if now() + wait > last_start:
+            return NotRun("no slot in time", wait)
+        if self._queue.full and not self._queue.evict_for(call):
+            return NotRun("queue is full", wait)
+        waiter = self._queue.add(call)
+        call.notes.append((now(), "queued"))
+        try:
+            async with asyncio.timeout_at(last_start):
+                reason = await waiter.admitted
+        except TimeoutError:
+            return self._give_up(waiter)
+        except asyncio.CancelledError:
+            self._return_slot(waiter)
+            raise
+        return NotRun(reason, wait) if reason else None
+
+    def _give_up(self, waiter):
+        self._return_slot(waiter)
+        return NotRun("no slot in time", self._times.usual)
+
+    def _return_slot(self, waiter):
+        # The slot may have been given in the same turn of the loop in which
+        # the wait ended: it would be lost for good if nobody handed it on.
+        if waiter.admitted.done() and not waiter.admitted.cancelled():
+            if waiter.admitted.result() == "":
+                self._release()
+        else:
+            waiter.admitted.cancel()
+
+    def _expected_wait(self, call):
+        ahead = self._queue.ahead_of(call) + 1 + max(0, self._running - self._limit.limit)
+        return ahead * self._times.recent / self._limit.limit
+
+    def _last_check(self, call):
+        """Return the `NotRun` for a call that must not be dispatched any more.
+
+        Notes
+        -----
+        Failure: the process is stopped with calls in its buffers and wakes
+        seconds later, believing them fresh; the caller has long been told
+        something else.  The tick that did not happen shows the pause before
+        any call is looked at, and what was held through it is refused.
+        """
+        moment = now()
+        if moment - self._ticked_at > PAUSE_SECONDS:
+            self._suspect_until = moment + AFTER_PAUSE_SECONDS
+            self._ticked_at = moment
+            self._events.state("paused", old="running", new="woke up")
+        if moment < self._suspect_until:
+            return NotRun("node was paused", 0.05)
+        if moment >= call.deadline:
+            return NotRun("deadline passed before dispatch", 0.0)
+        return None
+
+    async def _dispatch(self, call):
+        self._times.begin(call.id)
+        call.notes.append((now(), "dispatched"))
+        counts = False
+        try:
+            answer = await self._client.fetch(call)
+            counts = answer.status < 500
+            self._answering_until = deadline_after(ANSWERING_SECONDS)
+            self._failures.add(not counts)
+            return answer
+        except BackendError as error:
+            self._failures.add(True)
+            return self._failure(call, error)
+        finally:
+            self._times.end(call.id, counts)
+
+    def _failure(self, call, error):
+        self._metrics.backend_failed(error.message)
+        if not error.sent:
+            return NotRun(f"backend server unreachable: {error.message}", 0.2)
+        late = time_left(call.deadline) <= 0.002
+        return Unknown(error.message, 504 if late else 502)
+
+    def _release(self):
+        self._running -= 1
+        self._limit.adjust()
+        while self._running < self._limit.limit:
+            call = self._queue.admit_next()
+            if call is None:
+                return
+            self._running += 1
+
+    async def _tick(self):
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            moment = now()
+            if moment - self._ticked_at > PAUSE_SECONDS + TICK_SECONDS:
+                self._suspect_until = moment + AFTER_PAUSE_SECONDS
+                self._events.state("paused", old="running", new="woke up")
+            self._ticked_at = moment
+            self._limit.adjust()
+
+
+def _broken_off(reason, record):
+    return Unknown(reason) if record.dispatched else NotRun(reason, 0.0)
--- /dev/null
+++ b/caperstack/backend/__init__.py
@@ -0,0 +1,1 @@
+"""The leg to the backend server, and its measuring."""
--- /dev/null
+++ b/caperstack/backend/monitor.py
@@ -0,0 +1,106 @@
+"""Read the backend server's health and load endpoints, within a fixed budget."""
+
+import asyncio
+import json
+import random
+
+from tornado.httpclient import AsyncHTTPClient
+
+from caperstack.calls.model import ServerState
+from caperstack.clock import deadline_after, now
+
+__all__ = ["BackendMonitor"]
+
+REQUEST_SECONDS = 1.0
+
+#: Failed readings in a row that make a backend server count as down.  Its
+#: calls may still be answered: then the calls are believed, not the endpoint.
+FAILURES_MOST = 3
+
+_STATES = {
+    "ok": ServerState.WARM,
+    "cold": ServerState.COLD,
+    "draining": ServerState.LEAVING,
+}
+
+
+class BackendMonitor:
+    """The only reader of a backend server's endpoints.
+
+    Notes
+    -----
+    Health and load are read in turn, together at the rate that the settings
+    allow; however many nodes there are, the backend server sees one reader.
+    """
+
+    def __init__(self, here):
+        self._here = here
+        self._failures = 0
+        self._task = None
+        self._incarnation = None
+
+    async def start(self, kernel):
+        """Start reading."""
+        self._owner = kernel.find("owner")
+        self._settings = kernel.find("settings")
+        self._metrics = kernel.find("metrics")
+        self._peers = kernel.find("peer port")
+        self._task = asyncio.create_task(self._read_for_ever())
+
+    async def stop(self):
+        """Stop reading."""
+        self._task.cancel()
+
+    async def _read_for_ever(self):
+        client = AsyncHTTPClient()
+        backend = self._here.backend
+        while True:
+            for path, take in (
+                (backend.health_path, self._take_health),
+                (backend.load_path, self._take_load),
+            ):
+                due = deadline_after(self._interval() * random.uniform(0.95, 1.05))
+                document = await self._read(client, path)
+                take(document)
+                await asyncio.sleep(max(0.0, due - now()))
+
+    def _interval(self):
+        return 1.0 / self._settings.service(self._here.backend.service).measuring_per_second
+
+    async def _read(self, client, path):
+        self._metrics.count("measuring_requests")
+        url = f"http://{self._here.backend.address}{path}"
+        try:
+            response = await client.fetch(url, request_timeout=REQUEST_SECONDS)
+            document = json.loads(response.body)
+        except Exception as error:
+            # Whatever is wrong with an endpoint, it is one failed reading.
+            self._metrics.count("measuring_failures", kind=type(error).__name__)
+            return None
+        return document if isinstance(document, dict) else None
+
+    def _take_health(self, document):
+        if self._owner.node_leaves:
+            return
+        if document is None:
+            self._failures += 1
+            if self._failures >= FAILURES_MOST and not self._owner.answering:
+                self._set_state(ServerState.DOWN)
+            return
+        self._failures = 0
+        state = _STATES.get(document.get("state"), ServerState.WARM)
+        if state == ServerState.COLD and document.get("started") != self._incarnation:
+            self._owner.start_cold()
+        self._incarnation = document.get("started")
+        self._set_state(state)
+
+    def _take_load(self, document):
+        if document is None:
+            return
+        in_flight = document.get("in_flight")
+        if isinstance(in_flight, int) and in_flight >= 0:
+            self._owner.set_published(in_flight)
+
+    def _set_state(self, state):
+        if self._owner.set_state(state):
+            self._peers.tell_state()
--- /dev/null
+++ b/caperstack/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Fleets of real processes on loopback, benchmarks and the demo."""
--- /dev/null
+++ b/caperstack/bench/client.py
@@ -0,0 +1,24 @@
+"""A small HTTP client for benches and tests: one request, any status is an answer."""
+
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+__all__ = ["request"]
+
+MAX_BODY = 256 * 1024 * 1024
+
+
+async def request(address, method, path, headers=None, body=b"", seconds=30.0):
+    """Return tornado's response to a request; only a missing answer raises."""
+    client = AsyncHTTPClient(max_body_size=MAX_BODY, max_buffer_size=MAX_BODY, max_clients=10_000)
+    return await client.fetch(
+        HTTPRequest(
+            f"http://{address}{path}",
+            method=method,
+            headers=headers,
+            body=body or (b"" if method in ("POST", "PUT", "PATCH") else None),
+            allow_nonstandard_methods=True,
+            request_timeout=seconds,
+            connect_timeout=seconds,
+        ),
+        raise_error=False,
+    )
--- /dev/null
+++ b/caperstack/bench/demo.py
@@ -0,0 +1,102 @@
+"""The demo: an example deployment with stand-ins, one drain and one slowdown."""
+
+import argparse
+import asyncio
+import json
+import sys
+
+from caperstack.bench.examples import example_fleet, example_mix
+from caperstack.events.timeline import fetch_events, merged, text_lines
+from caperstack.load.generator import run_calls
+from caperstack.load.ledger import judge, merged_ledger
+from caperstack.load.plan import parse_mix, plan_calls
+from caperstack.load.report import figures_of, table_of
+
+__all__ = ["main"]
+
+BACKEND = {"mean_ms": 20.0, "sigma": 1.0}
+FIRST_LINES = 25
+
+
+def _parser():
+    parser = argparse.ArgumentParser(prog="demo", description=__doc__)
+    parser.add_argument("--example", default="tee-times", choices=("tee-times", "tatra"))
+    parser.add_argument("--rate", type=float, default=150.0, help="calls a second")
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--serve", action="store_true", help="leave it running, drive no calls")
+    return parser
+
+
+async def _trouble(fleet, seconds):
+    """Slow one backend server down for a while, then drain another node."""
+    hosts = sorted(fleet.settings)
+    slow, leaving = hosts[-1], hosts[0]
+    await asyncio.sleep(seconds * 0.2)
+    print(f"-- {slow}: ten times slower")
+    await fleet.control(slow, slow_factor=10.0)
+    await asyncio.sleep(seconds * 0.3)
+    await fleet.control(slow, slow_factor=1.0)
+    print(f"-- {slow}: back to its pace; {leaving}: drains")
+    fleet.nodes[leaving].signal(15)
+    return await fleet.nodes[leaving].ended()
+
+
+async def _show_timeline(fleet):
+    addresses = [node["operator_address"] for node in fleet.settings.values()]
+    events = merged(await fetch_events(addresses))
+    print(f"\nTime line, the first {FIRST_LINES} of {len(events)} events:")
+    for line in text_lines(events[:FIRST_LINES]):
+        print(line)
+
+
+async def _drive(fleet, options):
+    hosts = sorted(fleet.settings)
+    targets = [fleet.caller_address(host) for host in hosts[1:]]
+    classes = parse_mix(example_mix(options.example))
+    plan = plan_calls(classes, targets, options.rate, options.seconds, seed=1)
+    trouble = asyncio.create_task(_trouble(fleet, options.seconds))
+    results = await run_calls(plan)
+    status = await trouble
+    figures = figures_of(results)
+    judgement = judge(results, merged_ledger(await fleet.ledgers()))
+    print(table_of(figures))
+    print(f"\nPromises: {judgement}; the drained node ended with status {status}")
+    await _show_timeline(fleet)
+    answered = figures["all"].outcomes["answered"]
+    truthful = judgement.clean and not figures["all"].outcomes["no answer"]
+    return truthful and status == 0 and answered > 0
+
+
+async def _serve(fleet, example):
+    first = min(fleet.settings)
+    node = fleet.settings[first]
+    paths = [kind["path"] for kind in json.loads(example_mix(example))["classes"]]
+    print("Running until interrupted. Try:")
+    for path in paths:
+        print(f"  curl -i http://{node['caller_address']}{path}")
+    print(f"  curl -s http://{node['operator_address']}/members")
+    print(f"  curl -s http://{node['operator_address']}/metrics")
+    print(f"  curl -s http://{fleet.platform['configuration'][0]}/v1/subtrees", flush=True)
+    await asyncio.Event().wait()
+
+
+async def _run(options):
+    async with example_fleet(options.example, backend=BACKEND) as fleet:
+        await fleet.settled()
+        if options.serve:
+            await _serve(fleet, options.example)
+        good = await _drive(fleet, options)
+    return 0 if good else 1
+
+
+def main(arguments=None):
+    """Run the command line; return the exit status."""
+    options = _parser().parse_args(arguments)
+    try:
+        return asyncio.run(_run(options))
+    except KeyboardInterrupt:
+        return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/caperstack/bench/scenario.py
@@ -0,0 +1,50 @@
+"""What failure tests share: a small fleet of real processes, and calls to it."""
+
+import uuid
+
+from caperstack.bench.client import request
+from caperstack.bench.fleet import Fleet, node_settings
+from caperstack.calls.headers import IDEMPOTENCY_KEY, TIME_LEFT
+from caperstack.standin.backend import LEDGER_ID
+
+__all__ = ["SUBTREES", "call", "small_fleet"]
+
+#: One service with a non-idempotent and an idempotent route, no hedges.
+SUBTREES = {
+    "": {
+        "services": {"bookings": {"hedge_share": 0.0}},
+        "routes": [
+            {"path": "/bookings", "service": "bookings", "criticality": "high"},
+            {"path": "/listings", "service": "bookings", "criticality": "low"},
+        ],
+    }
+}
+
+
+def small_fleet(count=2, subtrees=SUBTREES, backend=None, service="bookings", **changes):
+    """Return a `Fleet` of `count` nodes ``n0``, ``n1``… in zones a, b, c."""
+    nodes = [
+        node_settings(f"n{i}", "abc"[i % 3], service, settings=subtrees, **changes)
+        for i in range(count)
+    ]
+    return Fleet(nodes, subtrees, backend=backend, with_configuration=False)
+
+
+async def call(fleet, host, method="POST", path="/bookings", key="", body=b"", milliseconds=5000):
+    """Send one call through the node of `host`.
+
+    Returns
+    -------
+    name, response : str, tornado.httpclient.HTTPResponse
+        The call's name in the ledgers, and what the caller was told.
+    """
+    name = uuid.uuid4().hex
+    headers = {
+        LEDGER_ID: name,
+        TIME_LEFT: str(milliseconds),
+        "Content-Type": "application/octet-stream",
+    }
+    if key:
+        headers[IDEMPOTENCY_KEY] = key
+    response = await request(fleet.caller_address(host), method, path, headers, body)
+    return name, response
--- /dev/null
+++ b/caperstack/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' HTTP port."""
--- /dev/null
+++ b/caperstack/callers/port.py
@@ -0,0 +1,320 @@
+"""The callers' HTTP port, on tornado's server."""
+
+import asyncio
+from dataclasses import dataclass
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    ResponseStartLine,
+)
+from tornado.iostream import StreamClosedError
+
+from caperstack.calls.headers import (
+    DEPTH,
+    IDEMPOTENCY_KEY,
+    REQUEST_ID,
+    TIME_LEFT,
+    TRACEPARENT,
+    end_to_end,
+    forwarded,
+    request_id,
+    traceparent,
+)
+from caperstack.calls.model import Call, NotRun, Unknown
+from caperstack.calls.responses import outcome_name, response_to
+from caperstack.clock import deadline_after, now
+from caperstack.config.start import split_address
+from caperstack.config.tree import Criticality
+
+__all__ = ["CallerPort"]
+
+SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "TRACE"))
+
+#: A caller that was refused its body for size may still send this much, unread
+#: by anyone, so that it gets to read the answer.
+DISCARD_BYTES = 1024 * 1024 * 1024
+
+MAX_HEADER_BYTES = 64 * 1024
+MAX_DEADLINE_SECONDS = 300.0
+MAX_KEY_CHARACTERS = 255
+MAX_DEPTH = 64
+
+#: Headers that this node sets itself for the backend server.
+_OWN_HEADERS = frozenset(name.lower() for name in (REQUEST_ID, TRACEPARENT, TIME_LEFT, DEPTH))
+
+
+@dataclass(slots=True)
+class _BadRequestError(Exception):
+    field: str
+    reason: str
+
+
+class _Exchange(HTTPMessageDelegate):
+    """One request and its response; tornado calls the methods in order."""
+
+    def __init__(self, port, connection):
+        self._port = port
+        self._connection = connection
+        self._start = None
+        self._headers = None
+        self._parts = []
+        self._size = 0
+        self._reserved = 0
+        self._responded = False
+        self._task = None
+
+    def headers_received(self, start_line, headers):
+        """Note the request's head; refuse a body that is declared too large."""
+        # Tornado makes this object for an idle connection too; only from here
+        # on there is a request that a drain must wait for.
+        self._port.exchanges.add(self)
+        self._start = start_line
+        self._headers = headers
+        self._connection.set_max_body_size(DISCARD_BYTES)
+        declared = headers.get("Content-Length", "")
+        if declared.isdigit() and int(declared) > self._port.limits.body_bytes:
+            self._refuse_size()
+
+    def data_received(self, chunk):
+        """Collect a part of the body within the bounds."""
+        if self._responded:
+            return
+        self._size += len(chunk)
+        if self._size > self._port.limits.body_bytes:
+            self._refuse_size()
+        elif not self._port.reserve(len(chunk)):
+            self._refuse(NotRun("too many bodies are being held", 1.0))
+        else:
+            self._reserved += len(chunk)
+            self._parts.append(chunk)
+
+    def finish(self):
+        """The request is whole: handle it, or end the response of a refused one."""
+        if self._responded:
+            self._connection.finish()
+        else:
+            self._task = asyncio.create_task(self._handle())
+
+    def on_connection_close(self):
+        """The caller went away: cancel what runs for it."""
+        if self._task is not None:
+            self._task.cancel()
+        self._done()
+
+    def _refuse_size(self):
+        bound = self._port.limits.body_bytes
+        self._refuse(NotRun(f"body is larger than {bound} bytes", status=413))
+
+    def _refuse(self, outcome):
+        # Closing now would reset the connection under a caller that still
+        # sends, and it would never read why.  The answer goes out at once; the
+        # rest of the body is dropped as it comes, for a bounded time.
+        self._parts.clear()
+        self._respond(response_to(outcome), close=True, finish=False)
+
+    async def _handle(self):
+        try:
+            outcome, extra = await self._port.handle(
+                self._start, self._headers, b"".join(self._parts), self._connection.context
+            )
+        except Exception as error:
+            self._port.fault(error)
+            outcome, extra = Unknown("internal error", 500), []
+        response = response_to(outcome)
+        response.headers += extra
+        self._respond(response, close=self._port.draining)
+
+    def _respond(self, response, close, finish=True):
+        self._responded = True
+        headers = HTTPHeaders()
+        for name, value in response.headers:
+            headers.add(name, value)
+        if self._start.method != "HEAD" and _may_have_body(response.status):
+            headers["Content-Length"] = str(len(response.body))
+        else:
+            response.body = b""
+        if close:
+            headers["Connection"] = "close"
+        line = ResponseStartLine("", response.status, response.reason)
+        try:
+            self._connection.write_headers(line, headers, response.body)
+            if finish:
+                self._connection.finish()
+        except StreamClosedError:
+            self._port.metrics.count("callers_gone")
+        self._done()
+
+    def _done(self):
+        self._port.release(self._reserved)
+        self._reserved = 0
+        self._port.exchanges.discard(self)
+
+
+def _may_have_body(status):
+    return status >= 200 and status not in (204, 304)
+
+
+class CallerPort:
+    """Accept callers' requests, hand them to the dispatcher and tell the outcome."""
+
+    def __init__(self, here):
+        self._here = here
+        self._server = None
+        self._body_bytes = 0
+        self.limits = here.limits
+        self.exchanges = set()
+        self.draining = False
+
+    @property
+    def open_exchanges(self):
+        """How many requests are not yet answered."""
+        return len(self.exchanges)
+
+    async def start(self, kernel):
+        """Listen."""
+        self._kernel = kernel
+        self.metrics = kernel.find("metrics")
+        self._events = kernel.find("events")
+        self._settings = kernel.find("settings")
+        self._dispatcher = kernel.find("dispatcher")
+        self._claims = kernel.find("claims")
+        self._server = HTTPServer(
+            _Delegates(self),
+            idle_connection_timeout=self.limits.idle_seconds,
+            body_timeout=self.limits.body_seconds,
+            max_header_size=MAX_HEADER_BYTES,
+            max_buffer_size=DISCARD_BYTES,
+            max_body_size=DISCARD_BYTES,
+        )
+        ip, port = split_address(self._here.caller_address)
+        self._server.listen(port, ip, backlog=1024)
+
+    async def stop(self):
+        """Close the port and the idle connections."""
+        self._server.stop()
+        await self._server.close_all_connections()
+
+    def stop_listening(self):
+        """Take no new connections; open ones get their answers and are asked to close."""
+        self.draining = True
+        self._server.stop()
+
+    def reserve(self, size):
+        """Reserve memory for a part of a body; return whether there is room."""
+        if self._body_bytes + size > self.limits.bodies_bytes:
+            return False
+        self._body_bytes += size
+        return True
+
+    def release(self, size):
+        """Give reserved memory back."""
+        self._body_bytes -= size
+
+    def fault(self, error):
+        """Note a fault of this program; its caller still gets an answer."""
+        self.metrics.count("faults", kind=type(error).__name__)
+        self._events.state("fault", "none", f"{type(error).__name__}: {error}")
+
+    async def handle(self, start, headers, body, context):
+        """Return ``(outcome, headers)`` of a whole request."""
+        begun = now()
+        name = request_id(headers.get(REQUEST_ID))
+        extra = [(REQUEST_ID, name)]
+        try:
+            call = self._call(start, headers, body, context, name)
+        except _BadRequestError as error:
+            text = f"{error.field}: {error.reason}"
+            return self._counted(NotRun(text, status=400), "none"), extra
+        if call is None:
+            outcome = NotRun("no route for this method and path", status=404)
+            return self._counted(outcome, "none"), extra
+        outcome = await self._outcome(call)
+        self._events.call("entry", call, outcome, begun)
+        return self._counted(outcome, call.service), extra
+
+    def _counted(self, outcome, service):
+        self.metrics.count("outcomes", outcome=outcome_name(outcome), service=service)
+        return outcome
+
+    async def _outcome(self, call):
+        if call.idempotent or not call.key:
+            return await self._dispatcher.dispatch(call)
+        held, refusal = await self._claims.claim(call)
+        if refusal is not None:
+            return refusal
+        outcome = Unknown("cancelled")
+        try:
+            outcome = await self._dispatcher.dispatch(call)
+        finally:
+            self._claims.settle(held, outcome)
+        return outcome
+
+    def _call(self, start, headers, body, context, name):
+        route = self._settings.route(start.method, start.path.partition("?")[0])
+        if route is None:
+            return None
+        seconds = _time_left_seconds(headers, route.deadline_seconds)
+        depth = _depth(headers)
+        key = headers.get(IDEMPOTENCY_KEY, "")
+        if len(key) > MAX_KEY_CHARACTERS:
+            raise _BadRequestError(IDEMPOTENCY_KEY, f"longer than {MAX_KEY_CHARACTERS} characters")
+        idempotent = route.idempotent
+        if idempotent is None:
+            idempotent = start.method in SAFE_METHODS
+        return Call(
+            id=0,
+            origin=self._here.host,
+            request_id=name,
+            service=route.service,
+            method=start.method,
+            target=start.path,
+            headers=_backend_headers(headers, context.remote_ip, name, depth),
+            body=body,
+            deadline=deadline_after(seconds),
+            idempotent=idempotent,
+            criticality=Criticality[route.criticality],
+            key=key,
+            depth=depth,
+        )
+
+
+class _Delegates(HTTPServerConnectionDelegate):
+    """What tornado's server asks for a delegate for each request."""
+
+    def __init__(self, port):
+        self._port = port
+
+    def start_request(self, _server_connection, request_connection):
+        """Return the delegate of a new request."""
+        return _Exchange(self._port, request_connection)
+
+    def on_close(self, _server_connection):
+        """A connection is closed; its exchanges were told."""
+
+
+def _time_left_seconds(headers, most):
+    given = headers.get(TIME_LEFT)
+    if given is None:
+        return most
+    if not given.isdigit():
+        raise _BadRequestError(TIME_LEFT, "not a whole number of milliseconds")
+    return min(int(given) / 1000, most, MAX_DEADLINE_SECONDS)
+
+
+def _depth(headers):
+    given = headers.get(DEPTH, "0")
+    if not given.isdigit() or int(given) > MAX_DEPTH:
+        raise _BadRequestError(DEPTH, f"not a whole number up to {MAX_DEPTH}")
+    return int(given)
+
+
+def _backend_headers(headers, remote_ip, name, depth):
+    kept = [pair for pair in headers.get_all() if pair[0].lower() not in _OWN_HEADERS]
+    kept = forwarded(end_to_end(kept), remote_ip, headers.get("Host", ""))
+    kept.append((REQUEST_ID, name))
+    kept.append((TRACEPARENT, traceparent(headers.get(TRACEPARENT))))
+    kept.append((DEPTH, str(depth + 1)))
+    return kept
--- /dev/null
+++ b/caperstack/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Calls, their headers and their outcomes."""
--- /dev/null
+++ b/caperstack/calls/headers.py
@@ -0,0 +1,124 @@
+"""Headers on their way through a node: what is dropped, added and passed on."""
+
+import re
+import secrets
+
+__all__ = [
+    "CRITICALITY",
+    "DEPTH",
+    "IDEMPOTENCY_KEY",
+    "OUTCOME",
+    "REASON",
+    "REQUEST_ID",
+    "TIME_LEFT",
+    "TRACEPARENT",
+    "end_to_end",
+    "forwarded",
+    "request_id",
+    "traceparent",
+]
+
+REQUEST_ID = "X-Request-Id"
+TRACEPARENT = "Traceparent"
+IDEMPOTENCY_KEY = "Idempotency-Key"
+
+#: Milliseconds that the caller will still wait; in, and less time to the backend server.
+TIME_LEFT = "Caperstack-Time-Left-Ms"
+
+#: How many calls lie above this one in its tree; services pass it on.
+DEPTH = "Caperstack-Depth"
+
+#: "answered", "not-run" or "unknown", and why.
+OUTCOME = "Caperstack-Outcome"
+REASON = "Caperstack-Reason"
+CRITICALITY = "Caperstack-Criticality"
+
+_HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    )
+)
+
+_REQUEST_ID = re.compile(r"[\x21-\x7e]{1,128}")
+_TRACEPARENT = re.compile(r"00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})")
+
+
+def end_to_end(headers):
+    """Return the ``(name, value)`` pairs that concern both ends.
+
+    Parameters
+    ----------
+    headers : iterable of (str, str)
+        All headers of a message.
+
+    Notes
+    -----
+    Drops the connection's own headers, those that ``Connection`` names, and
+    Content-Length, which each leg sets itself.
+
+    References
+    ----------
+    .. [1] RFC 9110, section 7.6.1.
+    """
+    pairs = list(headers)
+    named = {
+        token.strip().lower()
+        for name, value in pairs
+        if name.lower() == "connection"
+        for token in value.split(",")
+    }
+    dropped = _HOP_BY_HOP | named
+    return [(name, value) for name, value in pairs if name.lower() not in dropped]
+
+
+def request_id(given):
+    """Return the caller's request id if it is usable, else a new one."""
+    if given and _REQUEST_ID.fullmatch(given):
+        return given
+    return secrets.token_hex(8)
+
+
+def traceparent(given):
+    """Return a W3C ``traceparent`` with a new span, in the caller's trace if valid.
+
+    References
+    ----------
+    .. [1] W3C Trace Context, section 3.2.
+    """
+    match = _TRACEPARENT.fullmatch(given or "")
+    if match and match[1] != "0" * 32 and match[2] != "0" * 16:
+        return f"00-{match[1]}-{secrets.token_hex(8)}-{match[3]}"
+    return f"00-{secrets.token_hex(16)}-{secrets.token_hex(8)}-01"
+
+
+def forwarded(headers, remote_ip, host):
+    """Return `headers` with the X-Forwarded headers of this hop.
+
+    Parameters
+    ----------
+    headers : list of (str, str)
+        End-to-end headers.
+    remote_ip : str
+        The address that the request came from.
+    host : str
+        The Host that the caller asked for; an earlier proxy's word stays.
+    """
+    chain = [value for name, value in headers if name.lower() == "x-forwarded-for"]
+    names = {name.lower() for name, _ in headers}
+    kept = [pair for pair in headers if pair[0].lower() != "x-forwarded-for"]
+    kept.append(("X-Forwarded-For", ", ".join((*chain, remote_ip))))
+    if "x-forwarded-proto" not in names:
+        kept.append(("X-Forwarded-Proto", "http"))
+    if "x-forwarded-host" not in names and host:
+        kept.append(("X-Forwarded-Host", host))
+    return kept
--- /dev/null
+++ b/caperstack/calls/model.py
@@ -0,0 +1,129 @@
+"""A call on its way through the nodes, and the outcomes in which it can end."""
+
+import itertools
+from dataclasses import dataclass, field
+
+from caperstack.clock import wall_microseconds
+
+__all__ = ["Answered", "Call", "Load", "NotRun", "Outcome", "ServerState", "Unknown", "call_ids"]
+
+#: Calls that one node can number before two starts within a microsecond could
+#: meet; the identifier must stay within 63 bits for the codec.
+IDS_PER_MICROSECOND = 512
+
+
+class ServerState:
+    """What a node says of its backend server."""
+
+    WARM = 0
+    COLD = 1
+    LEAVING = 2
+    DOWN = 3
+
+
+@dataclass(slots=True)
+class Load:
+    """The load of a backend server as its owner knows it.
+
+    Attributes
+    ----------
+    in_flight, queued, limit : int
+        Calls running, calls waiting, and calls allowed to run at once.
+    service_us : int
+        The recent service time in microseconds, calls still running included.
+    state : int
+        A `ServerState`.
+    failing : int
+        The share of recent calls that failed, in percent.
+    published : int
+        The calls in flight that the backend server's load endpoint last gave.
+    """
+
+    in_flight: int = 0
+    queued: int = 0
+    limit: int = 1
+    service_us: int = 0
+    state: int = ServerState.WARM
+    failing: int = 0
+    published: int = 0
+
+
+@dataclass(slots=True)
+class Call:
+    """One request of a caller, or one attempt at it.
+
+    Attributes
+    ----------
+    id : int
+        Names the attempt among all of its ``origin``, the host that made it.
+    request_id : str
+        Names the request in headers, logs and events, over all hosts.
+    deadline, queue_until : float
+        Points on the local monotonic clock: when the caller stops waiting, and
+        until when the call may wait for a slot.
+    criticality : int
+        A `caperstack.config.tree.Criticality`.
+    key : str
+        The caller's idempotency key, or empty.
+    depth : int
+        How many calls lie above this one in its tree of calls.
+    notes : list of (float, str)
+        What happened to the call here, for the time line.
+    """
+
+    id: int
+    origin: str
+    request_id: str
+    service: str
+    method: str
+    target: str
+    headers: list
+    body: bytes
+    deadline: float
+    idempotent: bool
+    criticality: int = 1
+    key: str = ""
+    depth: int = 0
+    queue_until: float = 0.0
+    notes: list = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Answered:
+    """The backend server answered; the answer is whole."""
+
+    status: int
+    reason: str
+    headers: list
+    body: bytes
+
+
+@dataclass(slots=True)
+class NotRun:
+    """The call did not run and will not; ``retry_after`` is in seconds."""
+
+    reason: str
+    retry_after: float = 1.0
+    status: int = 503
+
+
+@dataclass(slots=True)
+class Unknown:
+    """The call may or may not have run."""
+
+    reason: str
+    status: int = 502
+
+
+Outcome = Answered | NotRun | Unknown
+
+
+def call_ids():
+    """Return an iterator of call identifiers, apart from those of earlier starts.
+
+    Notes
+    -----
+    The start's wall clock fills the upper bits, so that the identifiers of a
+    node's earlier incarnation, which an owner may still remember, stay apart.
+    """
+    return itertools.count(wall_microseconds() * IDS_PER_MICROSECOND)
--- /dev/null
+++ b/caperstack/calls/responses.py
@@ -0,0 +1,84 @@
+"""What a caller is told: status, headers and body for each outcome."""
+
+import json
+import math
+from dataclasses import dataclass
+from functools import singledispatch
+from http.client import responses
+
+from caperstack.calls.headers import OUTCOME, REASON, end_to_end
+from caperstack.calls.model import Answered, NotRun, Unknown
+
+__all__ = ["Response", "outcome_name", "response_to"]
+
+
+@dataclass(slots=True)
+class Response:
+    """A response to a caller."""
+
+    status: int
+    reason: str
+    headers: list
+    body: bytes
+
+
+@singledispatch
+def outcome_name(outcome):
+    """Return the outcome's name as the `OUTCOME` header gives it."""
+    raise TypeError(f"no such outcome: {outcome!r}")
+
+
+@outcome_name.register
+def _(outcome: Answered):
+    return "answered"
+
+
+@outcome_name.register
+def _(outcome: NotRun):
+    return "not-run"
+
+
+@outcome_name.register
+def _(outcome: Unknown):
+    return "unknown"
+
+
+@singledispatch
+def response_to(outcome):
+    """Return the `Response` that tells `outcome` to a caller."""
+    raise TypeError(f"no such outcome: {outcome!r}")
+
+
+@response_to.register
+def _(outcome: Answered):
+    headers = end_to_end(outcome.headers)
+    headers.append((OUTCOME, "answered"))
+    return Response(outcome.status, outcome.reason, headers, outcome.body)
+
+
+@response_to.register
+def _(outcome: NotRun):
+    headers = []
+    if outcome.status in (429, 503):
+        headers.append(("Retry-After", str(max(1, math.ceil(outcome.retry_after)))))
+    return _told(outcome, headers)
+
+
+@response_to.register
+def _(outcome: Unknown):
+    return _told(outcome, [])
+
+
+def _told(outcome, headers):
+    name = outcome_name(outcome)
+    body = json.dumps({"outcome": name, "reason": outcome.reason}).encode() + b"\n"
+    headers += [
+        ("Content-Type", "application/json"),
+        (OUTCOME, name),
+        (REASON, _one_line(outcome.reason)),
+    ]
+    return Response(outcome.status, responses.get(outcome.status, "Error"), headers, body)
+
+
+def _one_line(text):
+    return "".join(char if 32 <= ord(char) < 127 else " " for char in text)[:200]
--- /dev/null
+++ b/caperstack/clock.py
@@ -0,0 +1,79 @@
+"""Points in time on the local monotonic clock, and how late a message came."""
+
+import time
+
+__all__ = ["TransitClock", "deadline_after", "now", "time_left", "wall_microseconds"]
+
+MICROSECONDS = 1_000_000
+
+#: How long one minimum of the transit offset is trusted, in seconds.  Host
+#: clocks drift by up to 100 ppm, so a minute adds 6 ms of error at the most.
+OFFSET_WINDOW = 60.0
+
+now = time.monotonic
+
+
+def deadline_after(seconds):
+    """Return the point on the monotonic clock that lies `seconds` ahead."""
+    return now() + seconds
+
+
+def time_left(deadline):
+    """Return the seconds until `deadline`; negative once it has passed."""
+    return deadline - now()
+
+
+def wall_microseconds():
+    """Return the wall clock in microseconds since the epoch."""
+    return time.time_ns() // 1000
+
+
+class TransitClock:
+    """Estimate how late each message of one connection arrived.
+
+    The sender stamps each message with its own monotonic clock.  The smallest
+    difference of arrival and stamp seen lately stands for an undelayed
+    message; whatever a message needs beyond that is its lateness, with no
+    synchronised clocks.
+
+    Notes
+    -----
+    Failure: a node is stopped while a request waits in its socket buffer.  On
+    waking, the time left that the request carries looks untouched, and a
+    request whose caller was told the outcome long ago would run.  The lateness
+    taken off the time left makes such a request expire on arrival.  The first
+    message of a connection counts as undelayed; the handshake, which is sent
+    when both sides are awake, is that message.
+    """
+
+    def __init__(self):
+        self._offset = None
+        self._previous = None
+        self._renew_at = 0.0
+
+    def lateness(self, stamp, arrival):
+        """Return the seconds that a message was delayed beyond the usual.
+
+        Parameters
+        ----------
+        stamp : float
+            The sender's monotonic clock at sending, in seconds.
+        arrival : float
+            The local monotonic clock at arrival, in seconds.
+
+        Returns
+        -------
+        float
+            Seconds, zero or more.
+        """
+        offset = arrival - stamp
+        if arrival >= self._renew_at:
+            self._previous = self._offset
+            self._offset = offset
+            self._renew_at = arrival + OFFSET_WINDOW
+        elif offset < self._offset:
+            self._offset = offset
+        floor = self._offset
+        if self._previous is not None and self._previous < floor:
+            floor = self._previous
+        return offset - floor if offset > floor else 0.0
--- /dev/null
+++ b/caperstack/config/__init__.py
@@ -0,0 +1,1 @@
+"""Start settings of a node and the settings tree of the teams."""
--- /dev/null
+++ b/caperstack/config/start.py
@@ -0,0 +1,144 @@
+"""Start settings of a node: one JSON document, validated whole."""
+
+import ipaddress
+import json
+from typing import Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
+
+from caperstack.exception import ConfigurationError
+
+__all__ = ["Address", "StartSettings", "parse_start_settings", "split_address", "validation_reason"]
+
+MEBIBYTE = 1024 * 1024
+
+
+def split_address(address):
+    """Return ``(ip, port)`` of an ``ip:port`` text.
+
+    Raises
+    ------
+    ValueError
+        If the text is not an IP address and a port from 1 to 65535.
+    """
+    ip, _, port = address.rpartition(":")
+    ipaddress.ip_address(ip.strip("[]"))
+    if not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"port must be 1 to 65535, not {port!r}")
+    return ip.strip("[]"), int(port)
+
+
+def _checked_address(value):
+    split_address(value)
+    return value
+
+
+Address = str
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class BackendSettings(_Model):
+    """The backend server beside the node."""
+
+    address: Address
+    service: str = Field(min_length=1, max_length=64)
+    slots: int = Field(20, ge=1, le=10_000)
+    connections: int = Field(200, ge=1, le=10_000)
+    health_path: str = Field("/health", pattern="^/")
+    load_path: str = Field("/load", pattern="^/")
+
+    _address = field_validator("address")(_checked_address)
+
+
+class PeerSeed(_Model):
+    """A host that is known without the host list."""
+
+    host: str = Field(min_length=1, max_length=128)
+    zone: str = Field(min_length=1, max_length=64)
+    region: str = "local"
+    service: str = Field(min_length=1, max_length=64)
+    peer_address: Address
+
+    _address = field_validator("peer_address")(_checked_address)
+
+
+class SecuritySettings(_Model):
+    """How peers prove who they are; ``plain`` must be asked for in words."""
+
+    mode: Literal["tls", "plain"]
+    certificate: str = ""
+    key: str = ""
+    authorities: str = ""
+
+
+class LogSettings(_Model):
+    """Where log lines go; there is no file, hosts have no disks."""
+
+    to: Literal["stdout", "stderr", "none"] = "stderr"
+
+
+class LimitSettings(_Model):
+    """Bounds on what callers and peers may hold in this process."""
+
+    body_bytes: int = Field(16 * MEBIBYTE, ge=1024, le=64 * MEBIBYTE)
+    bodies_bytes: int = Field(96 * MEBIBYTE, ge=1024, le=256 * MEBIBYTE)
+    body_seconds: float = Field(30.0, gt=0, le=600)
+    idle_seconds: float = Field(120.0, gt=0, le=3600)
+    drain_seconds: float = Field(30.0, gt=0, le=600)
+
+
+class StartSettings(_Model):
+    """All that a node must know before it can ask anyone."""
+
+    host: str = Field(min_length=1, max_length=128)
+    zone: str = Field(min_length=1, max_length=64)
+    region: str = Field("local", min_length=1, max_length=64)
+    caller_address: Address
+    peer_address: Address
+    operator_address: Address
+    backend: BackendSettings
+    configuration: Address | None = None
+    host_list: Address | None = None
+    peers: tuple[PeerSeed, ...] = ()
+    security: SecuritySettings
+    limits: LimitSettings = LimitSettings()
+    log: LogSettings = LogSettings()
+    settings: dict[str, dict] = Field(default_factory=dict)
+
+    _addresses = field_validator("caller_address", "peer_address", "operator_address")(
+        _checked_address
+    )
+
+    @field_validator("configuration", "host_list")
+    @classmethod
+    def _optional_address(cls, value):
+        return value if value is None else _checked_address(value)
+
+
+def validation_reason(error):
+    """Return ``(field, reason)`` of the first fault in a pydantic `ValidationError`."""
+    first = error.errors()[0]
+    field = ".".join(str(part) for part in first["loc"]) or "document"
+    return field, first["msg"]
+
+
+def parse_start_settings(text):
+    """Return the `StartSettings` in the JSON `text`.
+
+    Raises
+    ------
+    ConfigurationError
+        Naming the field and the reason.
+    """
+    try:
+        document = json.loads(text)
+    except ValueError as error:
+        raise ConfigurationError(f"not JSON: {error}", step="start settings") from None
+    try:
+        return StartSettings.model_validate(document)
+    except ValidationError as error:
+        field, reason = validation_reason(error)
+        raise ConfigurationError(reason, step="start settings", peer=field) from None
--- /dev/null
+++ b/caperstack/config/tree.py
@@ -0,0 +1,115 @@
+"""The settings tree: one JSON document per team's subtree, validated whole."""
+
+from enum import IntEnum
+from typing import Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
+
+from caperstack.config.start import validation_reason
+from caperstack.exception import ConfigurationError
+
+__all__ = [
+    "Criticality",
+    "RouteSettings",
+    "ServiceSettings",
+    "Subtree",
+    "TeamGrant",
+    "parse_subtree",
+    "subtree_schema",
+]
+
+PolicyName = Literal["random", "round_robin", "least_reported", "power_of_two", "load_aware"]
+
+
+class Criticality(IntEnum):
+    """How long a route outlasts others under overload; the higher, the longer."""
+
+    low = 0
+    normal = 1
+    high = 2
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class RouteSettings(_Model):
+    """A path prefix and how its calls are treated.
+
+    ``idempotent`` is unset by default: then the method decides (GET, HEAD,
+    OPTIONS and TRACE are safe, everything else is not).
+    """
+
+    path: str = Field(pattern="^/", max_length=512)
+    methods: tuple[str, ...] = ()
+    service: str = Field(min_length=1, max_length=64)
+    idempotent: bool | None = None
+    criticality: Literal["low", "normal", "high"] = "normal"
+    deadline_seconds: float = Field(5.0, gt=0, le=300)
+
+
+class ServiceSettings(_Model):
+    """How one service is called; unset fields come from the parent subtree."""
+
+    policy: PolicyName | None = None
+    retry_share: float | None = Field(None, ge=0, le=1)
+    hedge_share: float | None = Field(None, ge=0, le=0.5)
+    refusals_per_call: int | None = Field(None, ge=0, le=16)
+    measuring_per_second: float | None = Field(None, gt=0, le=10)
+    key_window_seconds: float | None = Field(None, gt=0, le=86_400)
+
+
+class TeamGrant(_Model):
+    """What a parent lets the child subtree of that name claim."""
+
+    routes: tuple[str, ...] = ()
+    services: tuple[str, ...] = ()
+
+
+class Bounds(_Model):
+    """Ceilings that a parent sets; a child may only set lower ones."""
+
+    retry_share: float | None = Field(None, ge=0, le=1)
+    hedge_share: float | None = Field(None, ge=0, le=0.5)
+    measuring_per_second: float | None = Field(None, gt=0, le=10)
+
+
+class Subtree(_Model):
+    """One team's settings."""
+
+    defaults: ServiceSettings = ServiceSettings()
+    bounds: Bounds = Bounds()
+    services: dict[str, ServiceSettings] = Field(default_factory=dict)
+    routes: tuple[RouteSettings, ...] = ()
+    teams: dict[str, TeamGrant] = Field(default_factory=dict)
+
+    @field_validator("routes")
+    @classmethod
+    def _no_route_twice(cls, routes):
+        seen = set()
+        for route in routes:
+            for method in route.methods or ("*",):
+                if (route.path, method) in seen:
+                    raise ValueError(f"route {route.path} {method} is given twice")
+                seen.add((route.path, method))
+        return routes
+
+
+def parse_subtree(path, document):
+    """Return the `Subtree` in `document`, a decoded JSON value.
+
+    Raises
+    ------
+    ConfigurationError
+        Naming the subtree, the field and the reason.
+    """
+    try:
+        return Subtree.model_validate(document)
+    except ValidationError as error:
+        field, reason = validation_reason(error)
+        raise ConfigurationError(reason, step=f"subtree {path or '/'}", peer=field) from None
+
+
+def subtree_schema():
+    """Return the JSON Schema of a subtree, a dict."""
+    return Subtree.model_json_schema()
--- /dev/null
+++ b/caperstack/events/__init__.py
@@ -0,0 +1,1 @@
+"""Events of a node, and the time line of many."""
--- /dev/null
+++ b/caperstack/events/ring.py
@@ -0,0 +1,132 @@
+"""A bounded ring of events, in an order that follows cause and effect."""
+
+from collections import deque
+from dataclasses import asdict, dataclass
+
+import eliot
+
+from caperstack.calls.model import Answered, NotRun
+from caperstack.clock import now, wall_microseconds
+
+__all__ = ["Event", "EventRing", "HybridClock"]
+
+RING_EVENTS = 20_000
+
+#: A call slower than this, in seconds, is told in events though it succeeded.
+SLOW_SECONDS = 0.25
+
+#: One call in this many is told in any case.
+SAMPLE_ONE_IN = 1000
+
+
+class HybridClock:
+    """A wall clock in microseconds that never runs behind what peers showed.
+
+    References
+    ----------
+    .. [1] Kulkarni, Demirbas, Madappa, Avva, Leone: "Logical Physical Clocks",
+       OPODIS 2014.
+    """
+
+    def __init__(self):
+        self._last = 0
+        self.ahead = 0
+
+    def tick(self):
+        """Return the next point; later than all before it."""
+        self._last = max(self._last + 1, wall_microseconds())
+        return self._last
+
+    def merge(self, remote):
+        """Take over a peer's point; the next one here is later."""
+        if remote > self._last:
+            self._last = remote
+            self.ahead = max(self.ahead, remote - wall_microseconds())
+
+
+@dataclass(slots=True)
+class Event:
+    """One thing that happened; ``clock`` orders, ``wall_us`` tells the local time."""
+
+    clock: int
+    wall_us: int
+    host: str
+    kind: str
+    request_id: str
+    service: str
+    text: str
+
+
+class EventRing:
+    """The latest events of this node, in memory only.
+
+    Notes
+    -----
+    State changes are logged as well, one line each; calls are not: they are
+    counted, and told here when they were slow, went wrong, or by sample.
+    """
+
+    def __init__(self, host):
+        self._host = host
+        self._ring = deque(maxlen=RING_EVENTS)
+        self._calls = 0
+        self.clock = HybridClock()
+
+    async def start(self, kernel):
+        """Nothing to start."""
+
+    async def stop(self):
+        """Nothing to stop."""
+
+    def add(self, kind, text, request_id="", service="", ago=0.0):
+        """Add an event that happened `ago` seconds before now."""
+        clock = self.clock.tick()
+        back = int(ago * 1e6)
+        event = Event(
+            clock - back, wall_microseconds() - back, self._host, kind, request_id, service, text
+        )
+        self._ring.append(event)
+
+    def state(self, subject, old, new, peer=""):
+        """Tell that `subject` changed, in the ring and in the log."""
+        where = f" of {peer}" if peer else ""
+        self.add("state", f"{subject}{where}: {old} -> {new}")
+        eliot.log_message(
+            message_type="state",
+            host=self._host,
+            subject=subject,
+            peer=peer,
+            old=str(old),
+            new=str(new),
+        )
+
+    def call(self, role, call, outcome, begun):
+        """Tell a call's story if it is worth telling."""
+        self._calls += 1
+        elapsed = now() - begun
+        fine = isinstance(outcome, Answered) and outcome.status < 500
+        if fine and elapsed < SLOW_SECONDS and self._calls % SAMPLE_ONE_IN:
+            return
+        moment = now()
+        for point, text in call.notes:
+            self.add(role, text, call.request_id, call.service, moment - point)
+        self.add(role, _ending(outcome, elapsed), call.request_id, call.service)
+
+    def since(self, clock=0, request_id="", service=""):
+        """Return the events after `clock` as dicts, filtered."""
+        return [
+            asdict(event)
+            for event in self._ring
+            if event.clock > clock
+            and request_id in ("", event.request_id)
+            and service in ("", event.service)
+        ]
+
+
+def _ending(outcome, elapsed):
+    took = f"after {elapsed * 1000:.1f} ms"
+    if isinstance(outcome, Answered):
+        return f"answered {outcome.status} {took}"
+    if isinstance(outcome, NotRun):
+        return f"not run ({outcome.reason}) {took}"
+    return f"unknown ({outcome.reason}) {took}"
--- /dev/null
+++ b/caperstack/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""Idempotency keys: their keepers and their claims."""
--- /dev/null
+++ b/caperstack/idempotency/claims.py
@@ -0,0 +1,160 @@
+"""The entry's side of idempotency keys: claim before the first dispatch, settle after."""
+
+import asyncio
+import secrets
+from dataclasses import dataclass
+
+from caperstack.calls.model import Answered, NotRun, Unknown
+from caperstack.clock import deadline_after
+from caperstack.exception import PeerError
+from caperstack.idempotency.keeper import (
+    Verdict,
+    born_microseconds,
+    fingerprint,
+    keepers_of,
+    majority,
+)
+from caperstack.peers.messages import Claim, Claimed, Settle
+
+__all__ = ["KeyClaims"]
+
+#: How long keepers have to answer, in seconds, within the call's deadline.
+CLAIM_SECONDS = 0.5
+
+HOLDER_BITS = 62
+
+_REFUSALS = {
+    Verdict.RAN: Unknown("a call with this key has run already", 409),
+    Verdict.RUNNING: Unknown("a call with this key may be running or have run", 409),
+    Verdict.OTHER_REQUEST: NotRun("this key belongs to another request", status=422),
+}
+
+_CANNOT_VOUCH = Unknown("no majority of keepers can vouch for this key", 503)
+
+
+@dataclass(slots=True)
+class _Held:
+    """A claim that was granted."""
+
+    service: str
+    key: str
+    holder: int
+    keepers: list
+
+
+class KeyClaims:
+    """Claims idempotency keys at their keepers."""
+
+    def __init__(self, here):
+        self._here = here
+
+    async def start(self, kernel):
+        """Find the services that this one needs."""
+        self._members = kernel.find("members")
+        self._settings = kernel.find("settings")
+        self._keeper = kernel.find("keeper")
+        self._metrics = kernel.find("metrics")
+
+    async def stop(self):
+        """Nothing to stop."""
+
+    async def claim(self, call):
+        """Claim the key of `call`.
+
+        Returns
+        -------
+        held, refusal : _Held or None, Outcome or None
+            Exactly one of them is set.  Settle what is held.
+        """
+        hosts = [member.host for member in self._members.of_service(call.service)]
+        keepers = keepers_of(call.key, hosts)
+        held = _Held(call.service, call.key, secrets.randbits(HOLDER_BITS), keepers)
+        replies = await self._ask_all(call, held)
+        if keepers and len(_grants(replies)) >= majority(len(keepers)):
+            return held, None
+        # A call that will not run must not stand in the way of the next one.
+        self._tell(held, ran=False)
+        return None, self._refusal(replies)
+
+    def settle(self, held, outcome):
+        """Tell the keepers how the call ended."""
+        if isinstance(outcome, NotRun):
+            self._tell(held, ran=False)
+        elif isinstance(outcome, Answered):
+            self._tell(held, ran=True)
+
+    def _refusal(self, replies):
+        verdicts = {Verdict(reply.verdict) for reply in replies}
+        self._metrics.count("keys_refused")
+        for verdict in (Verdict.OTHER_REQUEST, Verdict.RAN, Verdict.RUNNING):
+            if verdict in verdicts:
+                return _REFUSALS[verdict]
+        return _CANNOT_VOUCH
+
+    async def _ask_all(self, call, held):
+        window = self._settings.service(call.service).key_window_seconds
+        print_of_call = fingerprint(call.method, call.target, call.body)
+        born = born_microseconds(call.key)
+        deadline = min(call.deadline, deadline_after(CLAIM_SECONDS))
+        claims = [
+            Claim(
+                0,
+                held.service,
+                held.key,
+                held.keepers,
+                held.holder,
+                print_of_call,
+                born,
+                int(window * 1e6),
+            )
+            for _ in held.keepers
+        ]
+        questions = [
+            asyncio.create_task(self._ask(host, claim, deadline))
+            for host, claim in zip(held.keepers, claims, strict=True)
+        ]
+        return await _enough(questions)
+
+    async def _ask(self, host, claim, deadline):
+        if host == self._here.host:
+            return Claimed(0, *self._keeper.claim(claim), 0)
+        member = self._members.find(host)
+        if member is None:
+            return None
+        try:
+            return await member.owner.ask(claim, deadline)
+        except PeerError:
+            self._metrics.count("keepers_silent")
+            return None
+
+    def _tell(self, held, ran):
+        message = Settle(held.service, held.key, held.holder, ran)
+        for host in held.keepers:
+            member = self._members.find(host)
+            if host == self._here.host:
+                self._keeper.settle(message)
+            elif member is not None:
+                member.owner.tell(message)
+
+
+def _grants(replies):
+    return [r for r in replies if r.verdict == Verdict.GRANTED and r.vouches]
+
+
+async def _enough(questions):
+    """Return the replies as soon as a majority grants, or when all are in.
+
+    Notes
+    -----
+    Failure: a keeper has just died and each claim waits for it in vain, so
+    that bookings take half a second longer.  Two grants of three decide; the
+    third question goes on by itself, so that its keeper has the record too.
+    """
+    replies = []
+    for question in asyncio.as_completed(questions):
+        reply = await question
+        if reply is not None:
+            replies.append(reply)
+        if len(_grants(replies)) >= majority(len(questions)):
+            break
+    return replies
--- /dev/null
+++ b/caperstack/load/__init__.py
@@ -0,0 +1,1 @@
+"""The load and experiment tool."""
--- /dev/null
+++ b/caperstack/load/generator.py
@@ -0,0 +1,159 @@
+"""Send planned calls in an open loop and note how each one ended."""
+
+import asyncio
+import sys
+from dataclasses import dataclass
+
+from caperstack.backend.client import BackendClient
+from caperstack.calls.headers import IDEMPOTENCY_KEY, OUTCOME, TIME_LEFT
+from caperstack.calls.model import Call
+from caperstack.clock import deadline_after, now
+from caperstack.exception import BackendError
+from caperstack.standin.backend import LEDGER_ID, expected_body
+
+__all__ = ["CallResult", "run_calls"]
+
+#: Connections to one node; beyond, calls wait in the client as callers' would.
+CONNECTIONS = 500
+
+MAX_ANSWER = 128 * 1024 * 1024
+
+#: How much longer than its deadline a call is waited for, in seconds.
+PATIENCE_SECONDS = 5.0
+
+PROGRESS_SECONDS = 10.0
+
+
+@dataclass(slots=True)
+class CallResult:
+    """How one call ended.
+
+    Attributes
+    ----------
+    outcome : str
+        "answered", "not-run", "unknown", or "no answer" if the connection
+        broke or stayed silent.
+    seconds : float
+        From the moment at which the call was due, so that a sender that falls
+        behind shows in the figures.
+    whole : bool
+        For an answer of status 200: whether it is the whole of its own answer.
+    """
+
+    name: str
+    kind: str
+    idempotent: bool
+    target: str
+    due: float
+    status: int
+    outcome: str
+    reason: str
+    seconds: float
+    late: bool
+    whole: bool
+
+
+async def run_calls(plan, progress=False, on_result=None):
+    """Send the calls of `plan` when they are due; return the list of `CallResult`.
+
+    Parameters
+    ----------
+    plan : iterable of caperstack.load.plan.PlannedCall
+        The calls, in order of ``due``.
+    progress : bool
+        Whether to print a line every ten seconds.
+    on_result : callable, optional
+        Called with each result as it comes.
+    """
+    clients = {}
+    results = []
+    tasks = set()
+    start = now()
+    reporter = asyncio.create_task(_report(results, tasks, start)) if progress else None
+
+    def note(task):
+        tasks.discard(task)
+        results.append(task.result())
+        if on_result is not None:
+            on_result(results[-1])
+
+    for planned in plan:
+        wait = start + planned.due - now()
+        if wait > 0:
+            await asyncio.sleep(wait)
+        if planned.target not in clients:
+            clients[planned.target] = BackendClient(
+                planned.target, CONNECTIONS, MAX_ANSWER, tells_time=False
+            )
+        task = asyncio.create_task(_send(planned, clients[planned.target], start))
+        tasks.add(task)
+        task.add_done_callback(note)
+    while tasks:
+        await asyncio.wait(tasks)
+    if reporter is not None:
+        reporter.cancel()
+    for client in clients.values():
+        await client.stop()
+    return results
+
+
+async def _send(planned, client, start):
+    call = _call(planned)
+    try:
+        answer = await client.fetch(call)
+    except BackendError as error:
+        return _result(planned, start, 0, "no answer", error.message, True)
+    headers = {name.lower(): value for name, value in answer.headers}
+    outcome = headers.get(OUTCOME.lower(), "answered")
+    reason = headers.get("caperstack-reason", "")
+    whole = answer.status != 200 or answer.body == _expected(planned)
+    return _result(planned, start, answer.status, outcome, reason, whole)
+
+
+def _expected(planned):
+    if planned.kind.method == "HEAD":
+        return b""
+    return expected_body(planned.name, 64, planned.body)
+
+
+def _call(planned):
+    milliseconds = int(planned.kind.deadline_seconds * 1000)
+    headers = [(LEDGER_ID, planned.name), (TIME_LEFT, str(milliseconds))]
+    if planned.key:
+        headers.append((IDEMPOTENCY_KEY, planned.key))
+    return Call(
+        id=0,
+        origin="",
+        request_id=planned.name,
+        service="",
+        method=planned.kind.method,
+        target=planned.kind.path,
+        headers=headers,
+        body=planned.body,
+        deadline=deadline_after(planned.kind.deadline_seconds + PATIENCE_SECONDS),
+        idempotent=False,
+    )
+
+
+def _result(planned, start, status, outcome, reason, whole):
+    seconds = now() - start - planned.due
+    return CallResult(
+        planned.name,
+        planned.kind.name,
+        planned.kind.idempotent,
+        planned.target,
+        planned.due,
+        status,
+        outcome,
+        reason,
+        seconds,
+        seconds > planned.kind.deadline_seconds,
+        whole,
+    )
+
+
+async def _report(results, tasks, start):
+    while True:
+        await asyncio.sleep(PROGRESS_SECONDS)
+        line = f"{now() - start:6.0f} s: {len(results)} ended, {len(tasks)} in flight"
+        print(line, file=sys.stderr, flush=True)
--- /dev/null
+++ b/caperstack/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who serves what, and who is leaving."""
--- /dev/null
+++ b/caperstack/membership/hostlist.py
@@ -0,0 +1,114 @@
+"""Read the platform's lagging host list."""
+
+import asyncio
+import json
+import random
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
+from tornado.httpclient import AsyncHTTPClient
+
+from caperstack.config.start import split_address, validation_reason
+from caperstack.exception import PlatformError
+from caperstack.membership.members import HostEntry
+
+__all__ = ["HostListReader", "parse_host_list"]
+
+#: Seconds between two readings; the list lags more than that anyway.
+READ_SECONDS = 1.0
+
+REQUEST_SECONDS = 2.0
+
+
+class _Host(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    host: str = Field(min_length=1, max_length=128)
+    zone: str = Field(min_length=1, max_length=64)
+    region: str = "local"
+    service: str = Field(min_length=1, max_length=64)
+    peer_address: str
+    state: str = "live"
+
+    @field_validator("peer_address")
+    @classmethod
+    def _address(cls, value):
+        split_address(value)
+        return value
+
+
+class _HostList(BaseModel):
+    hosts: list[_Host]
+
+
+def parse_host_list(body):
+    """Return the list of `HostEntry` in a host list's JSON `body`.
+
+    Raises
+    ------
+    PlatformError
+        Naming the field.
+    """
+    try:
+        listed = _HostList.model_validate(json.loads(body))
+    except ValidationError as error:
+        field, reason = validation_reason(error)
+        raise PlatformError(reason, step="host list", peer=field) from None
+    except ValueError as error:
+        raise PlatformError(f"not JSON: {error}", step="host list") from None
+    return [
+        HostEntry(h.host, h.zone, h.region, h.service, h.peer_address, h.state == "leaving")
+        for h in listed.hosts
+    ]
+
+
+class HostListReader:
+    """Read the host list every second and hand it to the members.
+
+    Notes
+    -----
+    An unreadable list changes nothing: the last one stays, and what peers
+    show by answering or not is stronger than any list.
+    """
+
+    def __init__(self, address):
+        self._address = address
+        self._task = None
+        self._readable = None
+
+    async def start(self, kernel):
+        """Start reading."""
+        self._members = kernel.find("members")
+        self._events = kernel.find("events")
+        self._metrics = kernel.find("metrics")
+        if self._address is not None:
+            self._task = asyncio.create_task(self._read_for_ever())
+
+    async def stop(self):
+        """Stop reading."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _read_for_ever(self):
+        client = AsyncHTTPClient()
+        while True:
+            try:
+                await self._read(client)
+            except PlatformError as error:
+                self._note(False, str(error))
+            await asyncio.sleep(READ_SECONDS * random.uniform(0.8, 1.2))
+
+    async def _read(self, client):
+        self._metrics.count("host_list_reads")
+        try:
+            response = await client.fetch(
+                f"http://{self._address}/hosts", request_timeout=REQUEST_SECONDS
+            )
+        except Exception as error:
+            raise PlatformError(str(error), step="read", peer=self._address) from None
+        self._members.take_list(parse_host_list(response.body))
+        self._note(True, "readable")
+
+    def _note(self, readable, text):
+        if readable != self._readable:
+            self._events.state("host list", self._readable, text, self._address)
+            self._readable = readable
--- /dev/null
+++ b/caperstack/membership/members.py
@@ -0,0 +1,182 @@
+"""Who serves what: the host list, own exchanges and peers' words, by strength."""
+
+from dataclasses import dataclass, field
+
+from caperstack.routing.estimates import Estimate
+
+__all__ = ["HostEntry", "Member", "Members"]
+
+
+@dataclass(frozen=True, slots=True)
+class HostEntry:
+    """One line of the platform's host list."""
+
+    host: str
+    zone: str
+    region: str
+    service: str
+    peer_address: str
+    leaving: bool = False
+
+
+@dataclass(slots=True)
+class Member:
+    """A node and the backend server beside it, as this node believes.
+
+    Attributes
+    ----------
+    incarnation : int
+        The start of the node that was last spoken to; 0 if never.
+    leaving_incarnation : int
+        The latest incarnation that is known to leave; -1 if none.
+    owner : object
+        The way to its owner: a local one or a link.
+    """
+
+    host: str
+    zone: str
+    region: str
+    service: str
+    peer_address: str
+    incarnation: int = 0
+    leaving_incarnation: int = -1
+    listed_leaving: bool = False
+    owner: object = None
+    estimate: Estimate = field(default_factory=Estimate)
+
+    @property
+    def leaving(self):
+        """Whether no new work may go there.
+
+        Notes
+        -----
+        Failure: the host list lags, and an old copy shows a leaving host as
+        live; new work would go to a server about to stop.  A leaving mark
+        holds for its incarnation, and only a newer incarnation lifts it.
+        """
+        return self.listed_leaving or self.leaving_incarnation >= max(self.incarnation, 0)
+
+
+class Members:
+    """The members that this node knows, by host and by service."""
+
+    def __init__(self, here):
+        self._here = here
+        self._hosts = {}
+        self._services = {}
+        self._listeners = []
+        self._events = None
+        self._listed = frozenset()
+
+    @property
+    def services(self):
+        """The names of the services that have members."""
+        return tuple(self._services)
+
+    @property
+    def here(self):
+        """The start settings of this node."""
+        return self._here
+
+    async def start(self, kernel):
+        """Take in the hosts of the start settings."""
+        self._events = kernel.find("events")
+        self.take_list(self._seeds(), complete=False)
+
+    async def stop(self):
+        """Nothing to stop."""
+
+    def _seeds(self):
+        here = self._here
+        yield HostEntry(here.host, here.zone, here.region, here.backend.service, here.peer_address)
+        for seed in here.peers:
+            yield HostEntry(seed.host, seed.zone, seed.region, seed.service, seed.peer_address)
+
+    def listen(self, listener):
+        """Call ``listener(member, gone)`` for each member that comes or goes."""
+        self._listeners.append(listener)
+        for member in self._hosts.values():
+            listener(member, False)
+
+    def of_service(self, service):
+        """Return the list of members that serve `service`."""
+        return self._services.get(service, [])
+
+    def find(self, host):
+        """Return the member of that host name, or ``None``."""
+        return self._hosts.get(host)
+
+    def all(self):
+        """Return all members."""
+        return list(self._hosts.values())
+
+    def take_list(self, entries, complete=True):
+        """Take over a host list.
+
+        Parameters
+        ----------
+        entries : iterable of HostEntry
+            The hosts.
+        complete : bool
+            Whether hosts that are missing are gone.  Only hosts that the list
+            once had are dropped: seeds and peers that came by themselves stay.
+        """
+        names = set()
+        for entry in entries:
+            names.add(entry.host)
+            self._take_entry(entry)
+        if complete:
+            for host in self._listed - names:
+                self._drop(host)
+            self._listed = frozenset(names)
+
+    def _take_entry(self, entry):
+        member = self._hosts.get(entry.host)
+        mine = entry.host == self._here.host
+        if (
+            member is not None
+            and not mine
+            and (member.peer_address, member.service)
+            != (
+                entry.peer_address,
+                entry.service,
+            )
+        ):
+            self._drop(entry.host)
+            member = None
+        if member is None:
+            member = Member(entry.host, entry.zone, entry.region, entry.service, entry.peer_address)
+            self._hosts[entry.host] = member
+            self._services.setdefault(entry.service, []).append(member)
+            self._events.state("member", "absent", "present", entry.host)
+            for listener in self._listeners:
+                listener(member, False)
+        if entry.leaving != member.listed_leaving:
+            member.listed_leaving = entry.leaving
+            self._events.state("listed as leaving", not entry.leaving, entry.leaving, entry.host)
+
+    def _drop(self, host):
+        if host == self._here.host:
+            return
+        member = self._hosts.pop(host)
+        self._services[member.service].remove(member)
+        self._events.state("member", "present", "absent", host)
+        for listener in self._listeners:
+            listener(member, True)
+
+    def mark_leaving(self, host, incarnation):
+        """Note that `incarnation` of `host` is leaving; return whether that is news."""
+        member = self._hosts.get(host)
+        if member is None or incarnation <= member.leaving_incarnation:
+            return False
+        member.leaving_incarnation = incarnation
+        self._events.state("leaving", False, member.leaving, host)
+        return True
+
+    def leaving_marks(self):
+        """Return the leaving marks as a dict of host and incarnation."""
+        return {
+            member.host: member.leaving_incarnation
+            for member in self._hosts.values()
+            if member.leaving_incarnation > 0
+        }
--- /dev/null
+++ b/caperstack/node/__init__.py
@@ -0,0 +1,1 @@
+"""The node: its services put together, started and drained."""
--- /dev/null
+++ b/caperstack/node/assemble.py
@@ -0,0 +1,49 @@
+"""Put the services of a node together."""
+
+from caperstack.admission.owner import Owner
+from caperstack.backend.client import BackendClient
+from caperstack.backend.monitor import BackendMonitor
+from caperstack.callers.port import CallerPort
+from caperstack.events.ring import EventRing
+from caperstack.idempotency.claims import KeyClaims
+from caperstack.idempotency.keeper import Keeper
+from caperstack.kernel import Kernel
+from caperstack.membership.hostlist import HostListReader
+from caperstack.membership.members import Members
+from caperstack.operators.metrics import Metrics
+from caperstack.operators.port import OperatorPort
+from caperstack.peers.links import Links
+from caperstack.peers.port import PeerPort
+from caperstack.peers.security import PeerSecurity
+from caperstack.routing.dispatch import Dispatcher
+from caperstack.settings.reader import SettingsReader
+from caperstack.settings.store import SettingsStore
+from caperstack.settings.sync import SettingsSync
+
+__all__ = ["assemble"]
+
+
+def assemble(here):
+    """Return the `Kernel` of a node, its services in the order of starting."""
+    kernel = Kernel()
+    security = PeerSecurity(here.security)
+    client = BackendClient(here.backend.address, here.backend.connections, here.limits.body_bytes)
+    kernel.register("metrics", Metrics(here.host))
+    kernel.register("events", EventRing(here.host))
+    kernel.register("security", security)
+    kernel.register("settings", SettingsStore(here.settings))
+    kernel.register("members", Members(here))
+    kernel.register("backend client", client)
+    kernel.register("owner", Owner(here.backend, client))
+    kernel.register("keeper", Keeper(here))
+    kernel.register("links", Links(here, security))
+    kernel.register("peer port", PeerPort(here, security))
+    kernel.register("backend monitor", BackendMonitor(here))
+    kernel.register("host list", HostListReader(here.host_list))
+    kernel.register("settings sync", SettingsSync(here))
+    kernel.register("settings reader", SettingsReader(here))
+    kernel.register("dispatcher", Dispatcher(here))
+    kernel.register("claims", KeyClaims(here))
+    kernel.register("callers", CallerPort(here))
+    kernel.register("operators", OperatorPort(here))
+    return kernel
--- /dev/null
+++ b/caperstack/node/main.py
@@ -0,0 +1,95 @@
+"""caperstack-node: the process beside each backend server."""
+
+import argparse
+import asyncio
+import signal
+import sys
+
+import eliot
+
+from caperstack import __version__
+from caperstack.config.start import parse_start_settings
+from caperstack.exception import CaperstackError
+from caperstack.node.assemble import assemble
+from caperstack.node.drain import drain
+
+__all__ = ["main", "serve"]
+
+EXIT_BAD_SETTINGS = 2
+EXIT_FAILED = 1
+
+
+def _parser():
+    parser = argparse.ArgumentParser(
+        prog="caperstack-node",
+        description=(
+            "Run the load balancer's process beside one backend server. It takes callers' "
+            "HTTP requests for any service, and runs, queues or refuses the calls that reach "
+            "its own backend server. SIGTERM or SIGINT drains it: no request in flight is cut."
+        ),
+    )
+    parser.add_argument("settings", help="start settings, a JSON file; - for standard input")
+    parser.add_argument("--check", action="store_true", help="validate the settings and exit")
+    parser.add_argument("--version", action="version", version=f"%(prog)s {__version__}")
+    return parser
+
+
+def _read(path):
+    if path == "-":
+        return sys.stdin.read()
+    with open(path, encoding="utf-8") as file:
+        return file.read()
+
+
+def _log_to(where):
+    if where == "stdout":
+        eliot.to_file(sys.stdout)
+    elif where == "stderr":
+        eliot.to_file(sys.stderr)
+
+
+async def serve(here, stopping=None):
+    """Run a node until SIGTERM or SIGINT, then drain and stop it.
+
+    Parameters
+    ----------
+    here : caperstack.config.start.StartSettings
+        The start settings.
+    stopping : asyncio.Event, optional
+        Set by the signals; a test may set it itself.
+    """
+    stopping = stopping or asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    kernel = assemble(here)
+    await kernel.start()
+    eliot.log_message(message_type="started", host=here.host, version=__version__)
+    await stopping.wait()
+    await drain(kernel, here.limits.drain_seconds)
+    await kernel.stop()
+    eliot.log_message(message_type="stopped", host=here.host)
+
+
+def main(arguments=None):
+    """Run the command line; return the exit status."""
+    options = _parser().parse_args(arguments)
+    try:
+        here = parse_start_settings(_read(options.settings))
+    except (OSError, CaperstackError) as error:
+        print(f"caperstack-node: {error}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    if options.check:
+        print(f"{here.host}: settings are good")
+        return 0
+    _log_to(here.log.to)
+    try:
+        asyncio.run(serve(here))
+    except CaperstackError as error:
+        print(f"caperstack-node: {error}", file=sys.stderr)
+        return EXIT_FAILED
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/caperstack/operators/__init__.py
@@ -0,0 +1,1 @@
+"""What operators see of a node."""
--- /dev/null
+++ b/caperstack/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Between nodes: messages, frames, connections, links and their security."""
--- /dev/null
+++ b/caperstack/peers/connection.py
@@ -0,0 +1,193 @@
+"""A connection between two nodes: whole messages in, whole messages out."""
+
+import asyncio
+from dataclasses import dataclass
+
+from caperstack.clock import TransitClock, now
+from caperstack.exception import FrameError, PeerError
+from caperstack.peers.frames import FrameDecoder, encode_frame
+from caperstack.peers.messages import VERSION, Chunk, Hello
+
+__all__ = ["PeerConnection"]
+
+READ_BYTES = 256 * 1024
+CHUNK_BYTES = 64 * 1024
+
+#: Bytes that may wait for a peer that does not read, before it counts as stuck.
+WRITE_BACKLOG = 64 * 1024 * 1024
+
+#: Bytes of bodies that a peer may leave incomplete.
+PARTIAL_BODIES = 64 * 1024 * 1024
+
+HANDSHAKE_SECONDS = 5.0
+REST_OF_FRAME_SECONDS = 15.0
+
+
+@dataclass(slots=True)
+class _Partial:
+    message: object
+    body: bytearray
+
+
+class PeerConnection:
+    """One connection to a peer, dialled or accepted.
+
+    Parameters
+    ----------
+    reader, writer : asyncio.StreamReader, asyncio.StreamWriter
+        The two directions.
+    address : str
+        The peer's address, for errors.
+    """
+
+    def __init__(self, reader, writer, address):
+        self._reader = reader
+        self._writer = writer
+        self._decoder = FrameDecoder()
+        self._partials = {}
+        self._partial_bytes = 0
+        self._early = []
+        self._closed = False
+        self.address = address
+        self.hello = None
+        self.transit = TransitClock()
+        self.arrival = 0.0
+        self.bytes_in = 0
+        self.bytes_out = 0
+
+    @property
+    def closed(self):
+        """Whether the connection can no longer be used."""
+        return self._closed or self._writer.is_closing()
+
+    async def handshake(self, hello):
+        """Exchange hellos and return the peer's.
+
+        Raises
+        ------
+        PeerError
+            If the peer is silent or speaks another version.
+        FrameError
+            If it sends something else.
+        """
+        self.send(hello)
+        messages = self._batches()
+        try:
+            async with asyncio.timeout(HANDSHAKE_SECONDS):
+                batch = await anext(messages, None)
+        except TimeoutError:
+            raise PeerError("no hello in time", step="handshake", peer=self.address) from None
+        if not batch:
+            raise PeerError("closed before hello", step="handshake", peer=self.address)
+        first = batch[0][0]
+        if not isinstance(first, Hello):
+            raise FrameError("first message is no hello", step="handshake", peer=self.address)
+        if first.version != VERSION:
+            reason = f"version {first.version}, not {VERSION}"
+            raise PeerError(reason, step="handshake", peer=self.address)
+        self.transit.lateness(first.sent_us / 1e6, self.arrival)
+        self.hello = first
+        self._early = batch[1:]
+        return first
+
+    async def messages(self):
+        """Yield ``(message, body)`` with whole bodies until the peer closes."""
+        for message, body in self._early:
+            for whole in self._assemble(message, body):
+                yield whole
+        async for batch in self._batches():
+            for message, body in batch:
+                for whole in self._assemble(message, body):
+                    yield whole
+
+    async def _batches(self):
+        while True:
+            data = await self._read()
+            if not data:
+                return
+            self.arrival = now()
+            self.bytes_in += len(data)
+            batch = list(self._decoder.feed(data))
+            if batch:
+                yield batch
+
+    async def _read(self):
+        # A peer that drips a frame byte by byte would hold its buffer for
+        # ever: the rest of a begun frame, and of a begun body, has a deadline.
+        # A connection at rest between frames has none.
+        if not self._decoder.partial and not self._partials:
+            return await self._reader.read(READ_BYTES)
+        try:
+            async with asyncio.timeout(REST_OF_FRAME_SECONDS):
+                return await self._reader.read(READ_BYTES)
+        except TimeoutError:
+            raise FrameError("rest of frame missing", step="read", peer=self.address) from None
+
+    def _assemble(self, message, body):
+        if isinstance(message, Chunk):
+            return self._add_chunk(message.id, body)
+        size = getattr(message, "size", None)
+        if size is None or size == len(body):
+            return ((message, body),)
+        if size < len(body) or message.id in self._partials:
+            raise FrameError("body longer than declared", step="body", peer=self.address)
+        self._partial_bytes += size
+        if self._partial_bytes > PARTIAL_BODIES:
+            raise FrameError("too many incomplete bodies", step="body", peer=self.address)
+        self._partials[message.id] = _Partial(message, bytearray(body))
+        return ()
+
+    def _add_chunk(self, number, body):
+        partial = self._partials.get(number)
+        if partial is None:
+            raise FrameError("chunk without message", step="body", peer=self.address)
+        partial.body += body
+        size = partial.message.size
+        if len(partial.body) < size:
+            return ()
+        del self._partials[number]
+        self._partial_bytes -= size
+        if len(partial.body) > size:
+            raise FrameError("body longer than declared", step="body", peer=self.address)
+        return ((partial.message, bytes(partial.body)),)
+
+    def send(self, message, body=b""):
+        """Send a message whose body is at most one chunk long.
+
+        Raises
+        ------
+        PeerError
+            With ``sent`` false, if the connection is closed or stuck.
+        """
+        if self.closed:
+            raise PeerError("connection is closed", step="send", peer=self.address, sent=False)
+        if self._writer.transport.get_write_buffer_size() > WRITE_BACKLOG:
+            raise PeerError("peer does not read", step="send", peer=self.address, sent=False)
+        data = encode_frame(message, body)
+        self.bytes_out += len(data)
+        self._writer.write(data)
+
+    async def send_whole(self, message, body):
+        """Send a message with a body of any length, in chunks."""
+        self.send(message, body[:CHUNK_BYTES])
+        for start in range(CHUNK_BYTES, len(body), CHUNK_BYTES):
+            await self._writer.drain()
+            self._send_chunk(message.id, body[start : start + CHUNK_BYTES])
+
+    def _send_chunk(self, number, part):
+        try:
+            self.send(Chunk(number), part)
+        except PeerError as error:
+            # The message itself is out: it is no longer unsent.
+            error.sent = True
+            raise
+
+    def close(self):
+        """Close the connection; what was written before is still sent."""
+        self._closed = True
+        self._writer.close()
+
+    def abort(self):
+        """Drop the connection at once."""
+        self._closed = True
+        self._writer.transport.abort()
--- /dev/null
+++ b/caperstack/peers/messages.py
@@ -0,0 +1,240 @@
+"""The typed messages between nodes."""
+
+import msgspec
+
+__all__ = [
+    "Answer",
+    "CallMessage",
+    "Chunk",
+    "Claim",
+    "Claimed",
+    "Digest",
+    "Fetch",
+    "Hello",
+    "LoadReport",
+    "Message",
+    "Ping",
+    "Pong",
+    "Refused",
+    "Revisions",
+    "Revoke",
+    "Settle",
+    "State",
+    "SubtreeBody",
+    "Unsure",
+    "Word",
+]
+
+#: The version of the messages below; a peer that speaks another is turned away.
+VERSION = 1
+
+
+class _Message(msgspec.Struct, array_like=True, gc=False):
+    pass
+
+
+class LoadReport(_Message):
+    """A `caperstack.calls.model.Load` on the wire."""
+
+    in_flight: int
+    queued: int
+    limit: int
+    service_us: int
+    state: int
+    failing: int
+    published: int
+
+
+class Hello(_Message, tag=1):
+    """The first message of each side; ``sent_us`` is the sender's monotonic clock."""
+
+    version: int
+    host: str
+    zone: str
+    service: str
+    incarnation: int
+    sent_us: int
+    load: LoadReport
+
+
+class CallMessage(_Message, tag=2):
+    """A call for the owner's backend server; times are in microseconds."""
+
+    id: int
+    size: int
+    sent_us: int
+    left_us: int
+    queue_us: int
+    request_id: str
+    service: str
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    idempotent: bool
+    criticality: int
+    depth: int
+    clock: int
+
+
+class Answer(_Message, tag=3):
+    """The backend server's answer; the body follows."""
+
+    id: int
+    size: int
+    status: int
+    reason: str
+    headers: list[tuple[str, str]]
+    load: LoadReport
+    clock: int
+
+
+class Refused(_Message, tag=4):
+    """Proof by the owner that the call did not run and will not."""
+
+    id: int
+    reason: str
+    retry_after_ms: int
+    load: LoadReport
+    clock: int
+
+
+class Unsure(_Message, tag=5):
+    """The owner sent the call to its backend server and got no whole answer."""
+
+    id: int
+    reason: str
+    status: int
+    load: LoadReport
+    clock: int
+
+
+class Revoke(_Message, tag=6):
+    """The entry gives a call up; with ``reply`` it wants to know how it ended.
+
+    Without ``reply`` the owner cancels what it can and says nothing.
+    """
+
+    id: int
+    reply: bool
+
+
+class Chunk(_Message, tag=7):
+    """A further part of the body of message ``id``."""
+
+    id: int
+
+
+class Ping(_Message, tag=8):
+    """A heartbeat that wants a `Pong`."""
+
+    id: int
+    clock: int
+
+
+class Pong(_Message, tag=9):
+    """The reply to a `Ping`."""
+
+    id: int
+    load: LoadReport
+    clock: int
+
+
+class State(_Message, tag=10):
+    """The owner's load or state changed enough to say so unasked."""
+
+    load: LoadReport
+
+
+class Claim(_Message, tag=11):
+    """Ask a keeper to record an idempotency key.
+
+    ``born_us`` is 0 for a key whose birth cannot be read; ``keepers`` are all
+    that the sender asks.
+    """
+
+    id: int
+    service: str
+    key: str
+    keepers: list[str]
+    holder: int
+    fingerprint: int
+    born_us: int
+    window_us: int
+
+
+class Claimed(_Message, tag=12):
+    """The keeper's verdict on a claim, a `caperstack.idempotency.keeper.Verdict`."""
+
+    id: int
+    verdict: int
+    vouches: bool
+    clock: int
+
+
+class Settle(_Message, tag=13):
+    """How the holder's call under a key ended: ``ran`` is false only on proof."""
+
+    service: str
+    key: str
+    holder: int
+    ran: bool
+
+
+class Revisions(_Message, tag=14):
+    """Revisions of subtrees that the sender holds; with ``full`` all of them.
+
+    To a full list the receiver replies with what it holds higher.
+    """
+
+    revisions: dict[str, int]
+    full: bool
+
+
+class Digest(_Message, tag=18):
+    """A number that is equal where all revisions are equal."""
+
+    value: int
+
+
+class Fetch(_Message, tag=15):
+    """Ask for the bodies of subtrees."""
+
+    paths: list[str]
+
+
+class SubtreeBody(_Message, tag=16):
+    """A subtree at a revision, deleted or with its JSON text as the body."""
+
+    id: int
+    size: int
+    path: str
+    revision: int
+    deleted: bool
+
+
+class Word(_Message, tag=17):
+    """What a peer knows of hosts that are leaving: host and incarnation."""
+
+    leaving: dict[str, int]
+
+
+Message = (
+    Hello
+    | CallMessage
+    | Answer
+    | Refused
+    | Unsure
+    | Revoke
+    | Chunk
+    | Ping
+    | Pong
+    | State
+    | Claim
+    | Claimed
+    | Settle
+    | Revisions
+    | Digest
+    | Fetch
+    | SubtreeBody
+    | Word
+)
--- /dev/null
+++ b/caperstack/peers/port.py
@@ -0,0 +1,228 @@
+"""The peer port: the connections that other nodes dial, one task for each."""
+
+import asyncio
+from functools import singledispatchmethod
+
+from caperstack.calls.model import NotRun
+from caperstack.clock import now
+from caperstack.config.start import split_address
+from caperstack.exception import CaperstackError, PeerError
+from caperstack.peers.connection import CHUNK_BYTES, PeerConnection
+from caperstack.peers.links import BUFFER_BYTES, hello_of
+from caperstack.peers.messages import (
+    CallMessage,
+    Claim,
+    Claimed,
+    Ping,
+    Pong,
+    Revoke,
+    Settle,
+    State,
+)
+from caperstack.peers.translate import call_from, load_report, reply_to
+
+__all__ = ["PeerPort"]
+
+#: Connections that may be open without a finished handshake.
+STRANGERS_MOST = 64
+
+#: How often a changed load is pushed, and how much change is worth a push.
+PUSH_SECONDS = 0.05
+PUSH_FACTOR = 2.0
+
+
+class PeerPort:
+    """Accept peers and serve their calls, heartbeats, claims and settings.
+
+    Notes
+    -----
+    A peer that sends rubbish is cut off and counted; the error ends its own
+    task and nothing else.
+    """
+
+    def __init__(self, here, security):
+        self._here = here
+        self._security = security
+        self._server = None
+        self._connections = {}
+        self._tasks = set()
+        self._calls = 0
+        self._strangers = 0
+        self._pushed = None
+        self._pusher = None
+        self._hooks = []
+
+    @property
+    def peers(self):
+        """The hosts whose connections are open here."""
+        return sorted({connection.hello.host for connection in self._connections})
+
+    @property
+    def calls(self):
+        """How many calls of peers are being served."""
+        return self._calls
+
+    async def start(self, kernel):
+        """Listen."""
+        self._events = kernel.find("events")
+        self._metrics = kernel.find("metrics")
+        self._owner = kernel.find("owner")
+        self._keeper = kernel.find("keeper")
+        self._links = kernel.find("links")
+        ip, port = split_address(self._here.peer_address)
+        self._server = await asyncio.start_server(
+            self._accept, ip, port, limit=BUFFER_BYTES, ssl=self._security.server_context()
+        )
+        self._pusher = asyncio.create_task(self._push_for_ever())
+
+    async def stop(self):
+        """Close the port and all connections."""
+        self._pusher.cancel()
+        self._server.close()
+        for connection in list(self._connections):
+            connection.close()
+
+    def hook(self, hook):
+        """Let `hook` hear of connections: ``opened``, ``closed`` and ``take``."""
+        self._hooks.append(hook)
+
+    def tell_state(self):
+        """Push the current load to all peers at once."""
+        self._push(self._owner.load)
+
+    async def _accept(self, reader, writer):
+        address = ":".join(str(part) for part in writer.get_extra_info("peername")[:2])
+        connection = PeerConnection(reader, writer, address)
+        try:
+            await self._greet(connection)
+            await self._serve(connection)
+        except (CaperstackError, OSError) as error:
+            self._metrics.count("peer_errors", kind=type(error).__name__)
+            self._events.add("peer", f"cut off {address}: {error}")
+        finally:
+            connection.abort()
+            if self._connections.pop(connection, None):
+                for hook in self._hooks:
+                    hook.closed(connection.hello.host)
+
+    async def _greet(self, connection):
+        if self._strangers >= STRANGERS_MOST:
+            raise PeerError("too many strangers", step="accept", peer=connection.address)
+        self._strangers += 1
+        try:
+            await connection.handshake(
+                hello_of(self._here, self._links.incarnation, self._owner.load)
+            )
+        finally:
+            self._strangers -= 1
+
+    async def _serve(self, connection):
+        self._connections[connection] = True
+        for hook in self._hooks:
+            hook.opened(connection.hello.host, connection)
+        async for message, body in connection.messages():
+            self._take(message, body, connection)
+
+    # -- messages ---------------------------------------------------------
+
+    @singledispatchmethod
+    def _take(self, message, body, connection):
+        for hook in self._hooks:
+            hook.take(connection.hello.host, connection, message, body)
+
+    @_take.register
+    def _(self, message: CallMessage, body, connection):
+        self._events.clock.merge(message.clock)
+        lateness = connection.transit.lateness(message.sent_us / 1e6, connection.arrival)
+        call = call_from(message, body, connection.hello.host, connection.arrival, lateness)
+        self._spawn(self._run(call, connection))
+
+    @_take.register
+    def _(self, message: Revoke, body, connection):
+        origin = connection.hello.host
+        if message.reply:
+            self._spawn(self._resolve(origin, message.id, connection))
+        else:
+            self._owner.abandon(origin, message.id)
+
+    @_take.register
+    def _(self, message: Ping, body, connection):
+        self._events.clock.merge(message.clock)
+        pong = Pong(message.id, load_report(self._owner.load), self._events.clock.tick())
+        self._send(connection, pong)
+
+    @_take.register
+    def _(self, message: Claim, body, connection):
+        verdict, vouches = self._keeper.claim(message)
+        self._send(connection, Claimed(message.id, verdict, vouches, self._events.clock.tick()))
+
+    @_take.register
+    def _(self, message: Settle, body, connection):
+        self._keeper.settle(message)
+
+    # -- calls ------------------------------------------------------------
+
+    def _spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _run(self, call, connection):
+        begun = now()
+        self._calls += 1
+        try:
+            outcome = await self._owner.run(call)
+            self._events.call("owner", call, outcome, begun)
+            await self._reply(call.id, outcome, connection)
+        finally:
+            self._calls -= 1
+
+    async def _resolve(self, origin, number, connection):
+        self._calls += 1
+        try:
+            outcome = await self._owner.revoke(origin, number)
+            self._metrics.count("resolved", proof=str(isinstance(outcome, NotRun)))
+            await self._reply(number, outcome, connection)
+        finally:
+            self._calls -= 1
+
+    async def _reply(self, number, outcome, connection):
+        report = load_report(self._owner.load)
+        message, body = reply_to(outcome, number, report, self._events.clock.tick())
+        try:
+            if len(body) <= CHUNK_BYTES:
+                connection.send(message, body)
+            else:
+                await connection.send_whole(message, body)
+        except (PeerError, ConnectionError):
+            # The entry will ask again over a new connection: Owner remembers.
+            self._metrics.count("replies_without_connection")
+
+    def _send(self, connection, message):
+        try:
+            connection.send(message)
+        except PeerError:
+            self._metrics.count("unsent_notices")
+
+    # -- load -------------------------------------------------------------
+
+    async def _push_for_ever(self):
+        while True:
+            await asyncio.sleep(PUSH_SECONDS)
+            load = self._owner.load
+            if self._worth_telling(load):
+                self._push(load)
+
+    def _worth_telling(self, load):
+        last = self._pushed
+        if last is None or load.state != last.state:
+            return True
+        before = max(1, last.service_us)
+        after = max(1, load.service_us)
+        return not 1 / PUSH_FACTOR < after / before < PUSH_FACTOR
+
+    def _push(self, load):
+        self._pushed = load
+        message = State(load_report(load))
+        for connection in list(self._connections):
+            self._send(connection, message)
--- /dev/null
+++ b/caperstack/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The entry's decision: where a call goes, and where it goes next."""
--- /dev/null
+++ b/caperstack/routing/dispatch.py
@@ -0,0 +1,264 @@
+"""The entry: send a call to an owner, and elsewhere again when that is safe."""
+
+import asyncio
+import dataclasses
+import random
+
+from caperstack.calls.model import Answered, NotRun, ServerState, Unknown, call_ids
+from caperstack.clock import deadline_after, now, time_left
+from caperstack.exception import PeerError
+from caperstack.routing.budgets import CallBudget, share_at_depth
+from caperstack.routing.policies import Context, choose, policy_named
+
+__all__ = ["Dispatcher"]
+
+#: How long an owner may hold a call before it is better moved on, in usual
+#: service times; the last try may wait until its deadline.
+PATIENCE = 1.0
+
+#: The usual time of a service before its first answer, in seconds.
+FIRST_USUAL_SECONDS = 0.02
+
+#: A hedge goes out after this many usual service times.
+HEDGE_AFTER = 4.0
+HEDGE_LEAST_SECONDS = 0.02
+
+#: Answers that an idempotent call may try to better at another server.
+REPEATABLE_STATUSES = frozenset((500, 502, 503, 504))
+
+#: At most this share of a service's members is ejected at once.
+EJECTED_MOST = 0.5
+
+
+class _ServiceState:
+    """What this entry keeps of one service: its policy, its budgets, its pace."""
+
+    def __init__(self, name):
+        self.policy_name = name
+        self.policy = policy_named(name)
+        self.retries = CallBudget()
+        self.hedges = CallBudget()
+        self.usual_seconds = FIRST_USUAL_SECONDS
+
+    def take_time(self, seconds):
+        """Note how long an answered call took."""
+        self.usual_seconds += 0.02 * (min(seconds, 4 * self.usual_seconds) - self.usual_seconds)
+
+
+class Dispatcher:
+    """Choose owners for calls, and retry or hedge where nothing can run twice.
+
+    Notes
+    -----
+    A non-idempotent call has one attempt out at any moment, and moves to
+    another owner only with the proof that the last attempt did not run.
+    """
+
+    def __init__(self, here, rng=None):
+        self._here = here
+        self._rng = rng or random.Random()
+        self._numbers = call_ids()
+        self._services = {}
+
+    async def start(self, kernel):
+        """Find the services that this one needs."""
+        self._members = kernel.find("members")
+        self._settings = kernel.find("settings")
+        self._metrics = kernel.find("metrics")
+        self._events = kernel.find("events")
+
+    def usual_seconds(self, service):
+        """Return the usual time of a call of `service`, in seconds."""
+        state = self._services.get(service)
+        return FIRST_USUAL_SECONDS if state is None else state.usual_seconds
+
+    async def stop(self):
+        """Nothing to stop."""
+
+    async def dispatch(self, call):
+        """Return the `Outcome` of `call`."""
+        settings = self._settings.service(call.service)
+        state = self._state(call.service, settings.policy)
+        state.retries.deposit(share_at_depth(settings.retry_share, call.depth))
+        state.hedges.deposit(share_at_depth(settings.hedge_share, call.depth))
+        if call.idempotent and settings.hedge_share > 0:
+            return await self._dispatch_hedged(call, state, settings)
+        return await self._try_in_turn(call, state, settings, [])
+
+    def _state(self, service, policy):
+        state = self._services.get(service)
+        if state is None or state.policy_name != policy:
+            state = self._services[service] = _ServiceState(policy)
+        return state
+
+    # -- one attempt after the other --------------------------------------
+
+    async def _try_in_turn(self, call, state, settings, tried):
+        refusals = 0
+        best = NotRun("no backend server known", 1.0)
+        while time_left(call.deadline) > 0:
+            member = self._choose(call, state, tried)
+            if member is None:
+                return best
+            tried.append(member)
+            last = refusals >= settings.refusals_per_call
+            outcome = await self._attempt(call, member, state, last)
+            best = min(outcome, best, key=_preference)
+            if isinstance(outcome, NotRun):
+                refusals += 1
+                if refusals > settings.refusals_per_call:
+                    return best
+                self._metrics.count("moves", service=call.service)
+            elif _final(outcome) or not self._may_repeat(call, state):
+                return best
+        return best
+
+    def _may_repeat(self, call, state):
+        if not call.idempotent or time_left(call.deadline) < state.usual_seconds:
+            return False
+        if not state.retries.withdraw():
+            self._metrics.count("retries_denied", service=call.service)
+            return False
+        self._metrics.count("retries", service=call.service)
+        return True
+
+    async def _attempt(self, call, member, state, last):
+        attempt = dataclasses.replace(
+            call,
+            id=next(self._numbers),
+            origin=self._here.host,
+            queue_until=self._queue_until(call, state, last),
+        )
+        call.notes.append((now(), f"to {member.host}"))
+        begun = now()
+        member.estimate.begin()
+        outcome = None
+        try:
+            outcome = await self._run(attempt, member)
+        finally:
+            member.estimate.end()
+        self._learn(outcome, member, state, begun)
+        call.notes.append((now(), f"{member.host}: {_short(outcome)}"))
+        return outcome
+
+    def _queue_until(self, call, state, last):
+        # Few members: waiting a little where the call is beats a round trip
+        # to a server that is as busy.
+        if last or len(self._members.of_service(call.service)) < 2:
+            return call.deadline
+        return min(call.deadline, deadline_after(PATIENCE * state.usual_seconds))
+
+    async def _run(self, attempt, member):
+        try:
+            return await member.owner.run(attempt)
+        except PeerError as error:
+            if not error.sent:
+                member.estimate.mark_down()
+                return NotRun(f"owner not reached: {error}", 0.2)
+        if attempt.idempotent:
+            return Unknown("connection to the owner was lost")
+        return await member.owner.resolve(attempt)
+
+    def _learn(self, outcome, member, state, begun):
+        if isinstance(outcome, Answered):
+            state.take_time(now() - begun)
+        if isinstance(outcome, NotRun):
+            return
+        failed = isinstance(outcome, Unknown) or outcome.status >= 500
+        if member.estimate.take_result(failed):
+            self._events.state("ejection", "in use", "ejected", member.host)
+            self._metrics.count("ejections", peer=member.host)
+
+    # -- choice -----------------------------------------------------------
+
+    def _choose(self, call, state, tried):
+        members = [
+            member
+            for member in self._members.of_service(call.service)
+            if not member.leaving and member not in tried
+        ]
+        if not members:
+            return None
+        context = Context(self._here.zone, self._here.region, state.usual_seconds, self._rng)
+        return choose(state.policy, self._sound(members), context)
+
+    def _sound(self, members):
+        """Return the members fit for work, or all if too many seem unfit.
+
+        Notes
+        -----
+        When most servers seem dead at once, the fault is likely on this side:
+        a partition, or a pause of this process.  Ejecting them all would turn
+        it into an outage, so beyond a bound nobody is ejected.
+        """
+        usable = [m for m in members if m.owner.usable and m.estimate.state != ServerState.DOWN]
+        if not usable:
+            usable = members
+        healthy = [m for m in usable if not m.estimate.ejected]
+        if len(usable) - len(healthy) > len(usable) * EJECTED_MOST:
+            self._metrics.count("self_doubts")
+            return usable
+        return healthy or usable
+
+    # -- hedging ----------------------------------------------------------
+
+    async def _dispatch_hedged(self, call, state, settings):
+        tried = []
+        first = asyncio.ensure_future(self._try_in_turn(call, state, settings, tried))
+        try:
+            delay = max(HEDGE_LEAST_SECONDS, HEDGE_AFTER * state.usual_seconds)
+            await asyncio.wait((first,), timeout=min(delay, max(0.0, time_left(call.deadline))))
+            if first.done() or not self._may_hedge(call, state, tried):
+                return await first
+            return await self._race(call, state, settings, tried, first)
+        finally:
+            if not first.done():
+                first.cancel()
+
+    def _may_hedge(self, call, state, tried):
+        members = self._members.of_service(call.service)
+        if len(members) <= len(tried) or time_left(call.deadline) <= 0:
+            return False
+        return state.hedges.withdraw()
+
+    async def _race(self, call, state, settings, tried, first):
+        self._metrics.count("hedges", service=call.service)
+        call.notes.append((now(), "hedged"))
+        second = asyncio.ensure_future(self._try_in_turn(call, state, settings, tried))
+        racers = {first, second}
+        outcomes = []
+        try:
+            while racers:
+                done, racers = await asyncio.wait(racers, return_when=asyncio.FIRST_COMPLETED)
+                outcomes += [task.result() for task in done]
+                if any(_final(outcome) for outcome in outcomes):
+                    break
+            return min(outcomes, key=_preference)
+        finally:
+            for task in racers:
+                task.cancel()
+
+
+def _final(outcome):
+    """Return whether `outcome` is an answer that no other server would better."""
+    return isinstance(outcome, Answered) and outcome.status not in REPEATABLE_STATUSES
+
+
+def _preference(outcome):
+    """Rank outcomes: a final answer, an answer, unknown, not run.
+
+    Notes
+    -----
+    Failure: one attempt at a call is lost on the way and the next is refused;
+    told the last outcome, the caller believes that nothing ran.  "Not run" is
+    told only if it is true of every attempt.
+    """
+    if isinstance(outcome, Answered):
+        return 0 if _final(outcome) else 1
+    return 2 if isinstance(outcome, Unknown) else 3
+
+
+def _short(outcome):
+    if isinstance(outcome, Answered):
+        return f"answered {outcome.status}"
+    return f"{type(outcome).__name__}: {outcome.reason}"
--- /dev/null
+++ b/caperstack/routing/estimates.py
@@ -0,0 +1,128 @@
+"""What an entry knows for free of each backend server."""
+
+from caperstack.calls.model import Load, ServerState
+from caperstack.clock import deadline_after, now
+
+__all__ = ["Estimate"]
+
+#: How long a load that rode back on an answer is trusted, in seconds.
+TRUST_SECONDS = 0.5
+
+#: How often the published report is taken over, in seconds; for the baselines.
+PUBLISHED_SECONDS = 1.0
+
+#: Results that make a server's failures count, and the share that ejects it.
+EJECT_AFTER = 5
+EJECT_SHARE = 0.5
+EJECT_SECONDS = 1.0
+EJECT_SECONDS_MOST = 30.0
+
+OWN_WEIGHT = 0.2
+
+#: The limit that is assumed before the first report.
+FIRST_LIMIT = 20
+
+
+class Estimate:
+    """An entry's view of one backend server: own calls, and loads that rode back.
+
+    Attributes
+    ----------
+    in_flight : int
+        This entry's own calls there.
+    """
+
+    def __init__(self):
+        self.in_flight = 0
+        self._load = Load(limit=FIRST_LIMIT)
+        self._own_at_load = 0
+        self._trust_until = 0.0
+        self._published = 0
+        self._published_until = 0.0
+        self._failing = 0.0
+        self._results = 0
+        self._ejected_until = 0.0
+        self._ejections = 0
+
+    @property
+    def state(self):
+        """The last `ServerState` heard."""
+        return self._load.state
+
+    @property
+    def published(self):
+        """The published report, up to a second older than the owner's copy."""
+        return self._published
+
+    @property
+    def ejected(self):
+        """Whether the server fails so often that it should rest."""
+        return now() < self._ejected_until
+
+    @property
+    def failing(self):
+        """The share of recent calls that failed, from 0 to 1."""
+        return max(self._failing, self._load.failing / 100 * self._trust())
+
+    def _trust(self):
+        left = self._trust_until - now()
+        return left / TRUST_SECONDS if left > 0 else 0.0
+
+    def expected_seconds(self, usual):
+        """Return the expected seconds from arrival to answer.
+
+        Parameters
+        ----------
+        usual : float
+            The service's usual time in seconds, which stands in where no
+            report is trusted any more.
+
+        Notes
+        -----
+        Calls of other entries fade as the report that told of them ages; own
+        calls are known exactly.  A server that nobody called lately drifts
+        back to the usual time, so it is tried again.
+        """
+        load = self._load
+        trust = self._trust()
+        others = max(0, load.in_flight + load.queued - self._own_at_load)
+        total = self.in_flight + others * trust
+        crowding = (total + 1) / max(1, load.limit)
+        usable = max(0.05, 1.0 - self.failing)
+        service = trust * load.service_us / 1e6 + (1 - trust) * usual
+        return service * max(1.0, crowding) * (1 + 0.2 * crowding) / usable**2
+
+    def begin(self):
+        """Note that a call goes there."""
+        self.in_flight += 1
+
+    def end(self):
+        """Note that a call ended."""
+        self.in_flight -= 1
+
+    def take_load(self, load):
+        """Note the `Load` that came from the owner."""
+        self._load = load
+        self._own_at_load = self.in_flight
+        self._trust_until = deadline_after(TRUST_SECONDS)
+        if now() >= self._published_until:
+            self._published = load.published
+            self._published_until = deadline_after(PUBLISHED_SECONDS)
+
+    def mark_down(self):
+        """Note that the owner cannot be reached."""
+        self._load.state = ServerState.DOWN
+
+    def take_result(self, failed):
+        """Note whether a call that ran there failed; eject after too many."""
+        self._failing += OWN_WEIGHT * (failed - self._failing)
+        self._results += 1
+        if not failed:
+            self._ejections = 0
+            return False
+        if self._results < EJECT_AFTER or self._failing < EJECT_SHARE or self.ejected:
+            return False
+        self._ejections += 1
+        seconds = min(EJECT_SECONDS_MOST, EJECT_SECONDS * 2 ** (self._ejections - 1))
+        self._ejected_until = deadline_after(seconds)
+        return True
--- /dev/null
+++ b/caperstack/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The settings in force, and how they reach every node."""
--- /dev/null
+++ b/caperstack/settings/neighbours.py
@@ -0,0 +1,63 @@
+"""Which peers a node exchanges settings with, and which nodes read the platform."""
+
+import xxhash
+
+__all__ = ["FAN_OUT", "READERS", "is_reader", "parents_of", "ranked"]
+
+#: Nodes of a zone that read the configuration service.
+READERS = 2
+
+#: Nodes that have the same first parent.
+FAN_OUT = 4
+
+
+def ranked(hosts):
+    """Return host names in an order that every node computes alike."""
+    return sorted(hosts, key=lambda host: xxhash.xxh3_64_intdigest(host.encode()))
+
+
+def is_reader(host, zone_hosts):
+    """Return whether `host` is among the readers of its zone.
+
+    Notes
+    -----
+    Nobody is elected.  Two nodes whose views of the zone differ may both read
+    or leave it to each other: the first costs a few reads, the second ends
+    when the peers' silence makes a node read for itself.
+    """
+    return host in ranked(zone_hosts)[:READERS]
+
+
+def parents_of(host, zone_hosts, first_hosts):
+    """Return the hosts that `host` dials for settings, the best first.
+
+    Parameters
+    ----------
+    host : str
+        The node.
+    zone_hosts : iterable of str
+        The hosts of its zone.
+    first_hosts : iterable of str
+        The first reader of each other zone.
+
+    Returns
+    -------
+    list of str
+        For a node of rank r the tree parent, then nodes of lower rank.  A
+        reader's are the other readers.
+
+    Notes
+    -----
+    The first parents form a tree of fan-out four, so news crosses a zone of
+    183 nodes in four steps and each node passes a body on about four times,
+    however large the zone is.
+    """
+    order = ranked(zone_hosts)
+    rank = order.index(host)
+    if rank < READERS:
+        readers = [name for name in order[:READERS] if name != host]
+        return readers + sorted(first_hosts)
+    first = (rank - READERS) // FAN_OUT
+    second = xxhash.xxh3_64_intdigest(f"second {host}".encode()) % rank
+    chosen = [order[first], order[second]]
+    return list(dict.fromkeys(chosen + order[:rank]))
--- /dev/null
+++ b/caperstack/settings/reader.py
@@ -0,0 +1,144 @@
+"""Read and watch the platform's configuration service, where this node is a reader."""
+
+import asyncio
+import json
+import random
+from urllib.parse import quote
+
+from tornado.httpclient import AsyncHTTPClient
+
+from caperstack.clock import deadline_after, now, time_left
+from caperstack.exception import PlatformError
+from caperstack.settings.neighbours import is_reader
+
+__all__ = ["SettingsReader"]
+
+#: The platform ends a watch after 30 s; a dead one shows a little later.
+WATCH_SECONDS = 40.0
+READ_SECONDS = 5.0
+
+RETRY_SECONDS = 0.5
+RETRY_SECONDS_MOST = 5.0
+
+#: Calls a second that all nodes together may make when they must read for
+#: themselves, a quarter of what the platform allows to everyone.
+FLEET_READS_PER_SECOND = 500
+READS_FOR_SELF = 3
+SELF_READ_SECONDS = 5.0
+
+LOOK_SECONDS = 0.5
+
+MAX_VALUE = 2 * 1024 * 1024
+
+
+class SettingsReader:
+    """Watch the service as one of the zone's readers, or read when peers go silent.
+
+    Notes
+    -----
+    Failure: after an outage, or a restart of everything, each node asks the
+    service for each subtree at once, the service is over its rate, and nobody
+    gets settings.  Here two nodes of a zone read; the others wait for them,
+    and read for themselves only after the peers' silence, at a pace that is
+    slower the larger the fleet is.
+    """
+
+    def __init__(self, here):
+        self._here = here
+        self._address = here.configuration
+        self._seen = 0
+        self._failures = 0
+        self._reachable = None
+        self._self_read_at = 0.0
+        self._task = None
+
+    async def start(self, kernel):
+        """Start reading."""
+        self._store = kernel.find("settings")
+        self._members = kernel.find("members")
+        self._sync = kernel.find("settings sync")
+        self._metrics = kernel.find("metrics")
+        self._events = kernel.find("events")
+        if self._address is not None:
+            self._task = asyncio.create_task(self._read_for_ever())
+
+    async def stop(self):
+        """Stop reading."""
+        if self._task is not None:
+            self._task.cancel()
+
+    @property
+    def reads(self):
+        """Whether this node is a reader of its zone."""
+        hosts = [m.host for m in self._members.all() if m.zone == self._here.zone]
+        return is_reader(self._here.host, hosts)
+
+    async def _read_for_ever(self):
+        client = AsyncHTTPClient(max_body_size=MAX_VALUE)
+        while True:
+            try:
+                await self._step(client)
+            except PlatformError as error:
+                self._failures += 1
+                self._note(False, str(error))
+                wait = min(RETRY_SECONDS_MOST, RETRY_SECONDS * 2 ** min(self._failures, 8))
+                await asyncio.sleep(wait * random.uniform(0.5, 1.0))
+
+    async def _step(self, client):
+        if self.reads:
+            await self._watch(client)
+        elif self._sync.silent and now() >= self._self_read_at:
+            self._self_read_at = deadline_after(self._pace() * random.uniform(1.0, 2.0))
+            self._metrics.count("settings_reads_for_self")
+            await self._take_index(client, await self._get(client, "/v1/subtrees", READ_SECONDS))
+        else:
+            await asyncio.sleep(LOOK_SECONDS * random.uniform(0.8, 1.2))
+
+    def _pace(self):
+        fleet = len(self._members.all())
+        return max(SELF_READ_SECONDS, fleet * READS_FOR_SELF / FLEET_READS_PER_SECOND)
+
+    async def _watch(self, client):
+        if self._seen == 0:
+            index = await self._get(client, "/v1/subtrees", READ_SECONDS)
+        else:
+            index = await self._get(client, f"/v1/watch?after={self._seen}", WATCH_SECONDS)
+        await self._take_index(client, index)
+
+    async def _take_index(self, client, index):
+        subtrees = index.get("subtrees")
+        if not isinstance(subtrees, dict):
+            raise PlatformError("no subtrees in the index", step="index", peer=self._address)
+        for path in sorted(subtrees):
+            if self._store.wants(path, subtrees[path]):
+                self._take(await self._get(client, f"/v1/subtrees/{quote(path)}", READ_SECONDS))
+        self._seen = max(self._seen, index.get("revision", 0))
+        self._failures = 0
+        self._note(True, "readable")
+
+    def _take(self, document):
+        try:
+            path, revision, value = (document[name] for name in ("path", "revision", "value"))
+        except KeyError as error:
+            raise PlatformError("missing", step="subtree", peer=str(error)) from None
+        self._store.take(path, revision, value, "platform")
+
+    async def _get(self, client, path, seconds):
+        self._metrics.count("configuration_reads")
+        deadline = deadline_after(seconds)
+        try:
+            response = await client.fetch(
+                f"http://{self._address}{path}", request_timeout=time_left(deadline)
+            )
+            document = json.loads(response.body)
+        except Exception as error:
+            # Down, slow or not JSON: all the same, the settings held stay.
+            raise PlatformError(str(error), step="read", peer=self._address) from None
+        if not isinstance(document, dict):
+            raise PlatformError("not a JSON object", step="read", peer=self._address)
+        return document
+
+    def _note(self, reachable, text):
+        if reachable != self._reachable:
+            self._events.state("configuration service", self._reachable, text, self._address)
+            self._reachable = reachable
--- /dev/null
+++ b/caperstack/settings/store.py
@@ -0,0 +1,139 @@
+"""The settings in force: the highest good revision of each team's subtree."""
+
+from dataclasses import dataclass, field
+
+from caperstack.clock import wall_microseconds
+from caperstack.config.tree import Subtree, parse_subtree
+from caperstack.exception import ConfigurationError
+from caperstack.settings.compile import EffectiveService, compile_tree
+
+__all__ = ["Held", "SettingsStore"]
+
+#: The default of a service that no subtree names.
+NO_SETTINGS = EffectiveService()
+
+
+@dataclass(slots=True)
+class Held:
+    """A subtree as held: the revision in force and the one last refused."""
+
+    path: str
+    revision: int = -1
+    document: dict | None = None
+    parsed: Subtree | None = None
+    since_us: int = 0
+    source: str = ""
+    refused_revision: int = -1
+    refused_reason: str = ""
+    problems: list = field(default_factory=list)
+
+    @property
+    def deleted(self):
+        """Whether the revision in force is a deletion."""
+        return self.revision >= 0 and self.document is None
+
+
+class SettingsStore:
+    """All subtrees that this node holds, and what follows from them.
+
+    Notes
+    -----
+    A subtree's revision only ever rises here, deletions included: a lower one
+    is ignored whoever sends it.  A subtree is taken whole or refused whole; a
+    refused one leaves the last good in force and other teams untouched.
+    """
+
+    def __init__(self, initial=None):
+        self._held = {}
+        self._initial = initial or {}
+        self._listeners = []
+        self._table = compile_tree({})
+        self._events = None
+
+    async def start(self, kernel):
+        """Take the settings that came with the start settings, at revision 0."""
+        self._events = kernel.find("events")
+        self._metrics = kernel.find("metrics")
+        for path, document in self._initial.items():
+            self.take(path, 0, document, "start settings")
+
+    async def stop(self):
+        """Nothing to stop."""
+
+    def listen(self, listener):
+        """Call ``listener(held)`` after each change."""
+        self._listeners.append(listener)
+
+    @property
+    def revisions(self):
+        """The revision in force of each subtree, a dict."""
+        return {path: held.revision for path, held in self._held.items() if held.revision >= 0}
+
+    def held(self):
+        """Return all `Held` subtrees, by path."""
+        return [self._held[path] for path in sorted(self._held)]
+
+    def get(self, path):
+        """Return the `Held` subtree of that path, or ``None``."""
+        return self._held.get(path)
+
+    def wants(self, path, revision):
+        """Return whether a body of that revision would be news."""
+        held = self._held.get(path)
+        if held is None:
+            return True
+        return revision > held.revision and revision != held.refused_revision
+
+    def take(self, path, revision, document, source):
+        """Take over a subtree's revision if it is higher; return whether it is in force now.
+
+        Parameters
+        ----------
+        path : str
+            The subtree, ``""`` for the root.
+        revision : int
+            The platform's revision.
+        document : dict or None
+            The decoded JSON value; ``None`` for a deletion.
+        source : str
+            Who it came from.
+        """
+        if not self.wants(path, revision):
+            return False
+        held = self._held.setdefault(path, Held(path))
+        try:
+            parsed = None if document is None else parse_subtree(path, document)
+        except ConfigurationError as error:
+            self._refuse(held, revision, str(error))
+            return False
+        held.revision = revision
+        held.document = document
+        held.parsed = parsed
+        held.source = source
+        held.since_us = wall_microseconds()
+        self._metrics.count("settings_changes")
+        self._events.state(f"settings {path or '/'}", "older", f"revision {revision}", source)
+        self._compile()
+        for listener in self._listeners:
+            listener(held)
+        return True
+
+    def _refuse(self, held, revision, reason):
+        held.refused_revision = revision
+        held.refused_reason = reason
+        self._metrics.count("settings_refused")
+        self._events.state(f"settings {held.path or '/'}", "offered", f"refused: {reason}")
+
+    def _compile(self):
+        subtrees = {path: h.parsed for path, h in self._held.items() if h.parsed is not None}
+        self._table = compile_tree(subtrees)
+        for path, held in self._held.items():
+            held.problems = self._table.problems.get(path, [])
+
+    def route(self, method, path):
+        """Return the `RouteSettings` of a request, or ``None``."""
+        return self._table.route(method, path)
+
+    def service(self, name):
+        """Return the `EffectiveService` of that name."""
+        return self._table.services.get(name, NO_SETTINGS)
--- /dev/null
+++ b/caperstack/settings/sync.py
@@ -0,0 +1,197 @@
+"""Settings from peer to peer: revisions pushed, digests compared, bodies on difference."""
+
+import asyncio
+import itertools
+import json
+import random
+from functools import singledispatchmethod
+
+import xxhash
+
+from caperstack.clock import deadline_after, now
+from caperstack.exception import PeerError
+from caperstack.peers.messages import Digest, Fetch, Revisions, SubtreeBody
+from caperstack.settings.neighbours import is_reader, parents_of, ranked
+
+__all__ = ["SettingsSync", "digest_of"]
+
+#: How often parents are looked after, and how often digests are compared.
+CARE_SECONDS = 1.0
+DIGEST_SECONDS = 5.0
+
+#: Parents that are kept connected.
+PARENTS = 2
+
+#: A body larger than this is refused; the platform holds values up to a megabyte.
+MAX_BODY = 2 * 1024 * 1024
+
+#: Silence of all peers after which a node no longer counts on them.
+SILENT_SECONDS = 12.0
+
+
+def digest_of(revisions):
+    """Return a 63-bit number that stands for a dict of revisions."""
+    text = json.dumps(sorted(revisions.items()))
+    return xxhash.xxh3_64_intdigest(text.encode()) >> 1
+
+
+class SettingsSync:
+    """Keep the settings of this node and its neighbours alike.
+
+    Notes
+    -----
+    News travels both ways on every settings connection, whoever dialled it,
+    so a change that one node alone has seen reaches all that are connected.
+    """
+
+    def __init__(self, here):
+        self._here = here
+        self._connections = {}
+        self._numbers = itertools.count(1)
+        self._heard_until = 0.0
+        self._tasks = set()
+        self._task = None
+
+    @property
+    def silent(self):
+        """Whether no peer has spoken of settings lately."""
+        return now() > self._heard_until
+
+    async def start(self, kernel):
+        """Follow links, connections and changes."""
+        self._store = kernel.find("settings")
+        self._members = kernel.find("members")
+        self._metrics = kernel.find("metrics")
+        self._heard_until = deadline_after(random.uniform(0.2, 0.5) * SILENT_SECONDS)
+        kernel.find("links").hook(self)
+        kernel.find("peer port").hook(self)
+        self._store.listen(self._on_change)
+        self._task = asyncio.create_task(self._care())
+
+    async def stop(self):
+        """Stop looking after parents."""
+        self._task.cancel()
+
+    # -- neighbours -------------------------------------------------------
+
+    def _parents(self):
+        zones = {}
+        for member in self._members.all():
+            zones.setdefault(member.zone, []).append(member.host)
+        firsts = [ranked(hosts)[0] for zone, hosts in zones.items() if zone != self._here.zone]
+        return parents_of(self._here.host, zones[self._here.zone], firsts)
+
+    async def _care(self):
+        digest_due = 0.0
+        while True:
+            kept = 0
+            for host in self._parents():
+                member = self._members.find(host)
+                if member is None or member.owner is None:
+                    continue
+                member.owner.touch()
+                kept += member.owner.usable
+                if kept >= self._wanted_parents():
+                    break
+            if now() >= digest_due:
+                digest_due = deadline_after(DIGEST_SECONDS * random.uniform(0.8, 1.2))
+                self._compare_digests()
+            await asyncio.sleep(CARE_SECONDS * random.uniform(0.8, 1.2))
+
+    def _wanted_parents(self):
+        # Readers join the zones: they keep to all other readers.
+        zone = [m.host for m in self._members.all() if m.zone == self._here.zone]
+        return len(self._members.all()) if is_reader(self._here.host, zone) else PARENTS
+
+    def _compare_digests(self):
+        message = Digest(digest_of(self._store.revisions))
+        for host, connection in list(self._connections.items()):
+            self._send(connection, message, host)
+
+    def opened(self, host, connection):
+        """A connection is up, dialled by either side: tell all revisions."""
+        self._connections[host] = connection
+        self._send(connection, Digest(digest_of(self._store.revisions)), host)
+
+    def closed(self, host):
+        """A connection is down."""
+        connection = self._connections.get(host)
+        if connection is not None and connection.closed:
+            del self._connections[host]
+
+    # -- messages ---------------------------------------------------------
+
+    @singledispatchmethod
+    def _handle(self, message, body, host, connection):
+        """Other messages are somebody else's."""
+
+    def take(self, host, connection, message, body):
+        """Take a message that came over a connection."""
+        self._handle(message, body, host, connection)
+
+    def _hear(self):
+        self._heard_until = deadline_after(SILENT_SECONDS)
+
+    @_handle.register
+    def _(self, message: Digest, body, host, connection):
+        self._hear()
+        revisions = self._store.revisions
+        if message.value != digest_of(revisions):
+            self._metrics.count("settings_differences")
+            self._send(connection, Revisions(revisions, True), host)
+
+    @_handle.register
+    def _(self, message: Revisions, body, host, connection):
+        self._hear()
+        wanted = [p for p, r in message.revisions.items() if self._store.wants(p, r)]
+        if wanted:
+            self._send(connection, Fetch(wanted), host)
+        if message.full:
+            mine = self._store.revisions
+            higher = {p: r for p, r in mine.items() if r > message.revisions.get(p, -1)}
+            if higher:
+                self._send(connection, Revisions(higher, False), host)
+
+    @_handle.register
+    def _(self, message: Fetch, body, host, connection):
+        for path in message.paths:
+            held = self._store.get(path)
+            if held is not None and held.revision >= 0:
+                self._spawn(self._send_body(held, connection, host))
+
+    @_handle.register
+    def _(self, message: SubtreeBody, body, host, connection):
+        self._hear()
+        if message.size > MAX_BODY:
+            self._metrics.count("settings_bodies_refused")
+            return
+        document = None if message.deleted else json.loads(body)
+        self._store.take(message.path, message.revision, document, host)
+
+    async def _send_body(self, held, connection, host):
+        body = b"" if held.document is None else json.dumps(held.document).encode()
+        message = SubtreeBody(
+            next(self._numbers), len(body), held.path, held.revision, held.deleted
+        )
+        self._metrics.count("settings_bodies_sent")
+        try:
+            await connection.send_whole(message, body)
+        except (PeerError, ConnectionError):
+            self._metrics.count("unsent_notices")
+
+    def _on_change(self, held):
+        message = Revisions({held.path: held.revision}, False)
+        for host, connection in list(self._connections.items()):
+            if host != held.source:
+                self._send(connection, message, host)
+
+    def _send(self, connection, message, host):
+        try:
+            connection.send(message)
+        except PeerError:
+            self._metrics.count("unsent_notices")
+
+    def _spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/caperstack/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the systems that caperstack serves and reads."""
--- /dev/null
+++ b/caperstack/standin/backend.py
@@ -0,0 +1,262 @@
+"""A stand-in backend server: slots, service times, troubles on command, and a ledger."""
+
+import asyncio
+import hashlib
+import json
+import random
+import time
+from collections import Counter
+from dataclasses import dataclass, fields
+
+import pycurl
+from tornado.httpclient import AsyncHTTPClient, HTTPError
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, ResponseStartLine
+
+from caperstack.calls.headers import DEPTH, REQUEST_ID, TIME_LEFT, TRACEPARENT
+
+__all__ = ["LEDGER_ID", "StandinBackend", "Troubles", "expected_body"]
+
+#: Names a call in the ledger; the load tool makes one up for each call.
+LEDGER_ID = "Ledger-Id"
+
+COLD_FACTOR = 3.0
+MAX_BODY = 128 * 1024 * 1024
+_PASSED_ON = (TRACEPARENT, REQUEST_ID, DEPTH)
+
+
+@dataclass
+class Troubles:
+    """What ails the server; set by ``POST /control`` with any of these names.
+
+    Attributes
+    ----------
+    slow_factor : float
+        Service times are multiplied by it.
+    fail_status : int
+        Answered at once to every call, if not 0.
+    draining : bool
+        Health says so; calls that come all the same are served and counted.
+    shed_above : int
+        Waiting calls beyond which new ones are refused with 503; 0 for never.
+    lie_in_flight : int
+        The load endpoint's figure; -1 for the truth.
+    load_lag_seconds : float
+        How old the load endpoint's figure is.
+    cold_seconds : float
+        For so long after its start the server is slow and says it is cold.
+    die_mid_answer : bool
+        Send half of each answer, then close the connection.
+    die_after_run : bool
+        Run each call, then close the connection without a byte.
+    mute : bool
+        The health and load endpoints fail.
+    """
+
+    slow_factor: float = 1.0
+    fail_status: int = 0
+    draining: bool = False
+    shed_above: int = 0
+    lie_in_flight: int = -1
+    load_lag_seconds: float = 0.0
+    cold_seconds: float = 0.0
+    die_mid_answer: bool = False
+    die_after_run: bool = False
+    mute: bool = False
+
+
+def expected_body(ledger_id, size, request_body=b""):
+    """Return the answer's body: the call's name, a digest of its body, and filler."""
+    digest = hashlib.blake2b(request_body, digest_size=16).hexdigest()
+    head = f"{ledger_id} {digest}\n".encode()
+    filler = hashlib.blake2b(head, digest_size=32).hexdigest().encode()
+    return head + (filler * (size // len(filler) + 1))[:size]
+
+
+class StandinBackend:
+    """One stand-in backend server.
+
+    Parameters
+    ----------
+    port : int
+        Where it listens, on loopback.
+    slots : int
+        Calls that run at once; more wait inside.
+    mean_seconds, sigma : float
+        Mean and shape of the lognormal service time; no wait if the mean is 0.
+    node : str
+        Address of the node beside it, for calls to other services.
+    seed : int
+        Of the service times.
+    """
+
+    def __init__(self, port, slots=20, mean_seconds=0.0, sigma=1.0, node="", seed=0):
+        self._port = port
+        self._slots = asyncio.Semaphore(slots)
+        self._mean = mean_seconds
+        self._sigma = sigma
+        self._node = node
+        self._random = random.Random(seed)
+        self._ledger = Counter()
+        self._running = 0
+        self._waiting = 0
+        self._history = []
+        self._measured = 0
+        self._after_drain = 0
+        self._drained_at = None
+        self._started = time.time()
+        self._server = None
+        self._tasks = set()
+        self.troubles = Troubles()
+
+    async def start(self):
+        """Listen."""
+        self._server = HTTPServer(
+            self._accept,
+            max_body_size=MAX_BODY,
+            max_buffer_size=MAX_BODY,
+            idle_connection_timeout=3600,
+        )
+        self._server.listen(self._port, "127.0.0.1", backlog=1024)
+
+    def _accept(self, request):
+        task = asyncio.create_task(self._handle(request))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        request.connection.set_close_callback(task.cancel)
+
+    async def _handle(self, request):
+        special = {
+            "/health": self._health,
+            "/load": self._load,
+            "/ledger": self._show_ledger,
+            "/control": self._control,
+        }.get(request.path)
+        if special is not None:
+            status, document = special(request)
+            self._respond(request, status, json.dumps(document).encode())
+            return
+        await self._serve(request)
+
+    # -- endpoints --------------------------------------------------------
+
+    def _health(self, request):
+        self._measured += 1
+        if self.troubles.mute:
+            return 500, {}
+        state = "draining" if self.troubles.draining else "cold" if self._cold else "ok"
+        return 200, {"state": state, "started": self._started}
+
+    @property
+    def _cold(self):
+        return time.time() - self._started < self.troubles.cold_seconds
+
+    def _load(self, request):
+        self._measured += 1
+        if self.troubles.mute:
+            return 500, {}
+        if self.troubles.lie_in_flight >= 0:
+            return 200, {"in_flight": self.troubles.lie_in_flight}
+        moment = time.time()
+        self._history.append((moment, self._running + self._waiting))
+        wanted = moment - self.troubles.load_lag_seconds
+        older = [entry for entry in self._history if entry[0] <= wanted]
+        self._history = self._history[-100:]
+        return 200, {"in_flight": (older or self._history)[-1][1]}
+
+    def _show_ledger(self, request):
+        return 200, {
+            "runs": sum(self._ledger.values()),
+            "ledger": self._ledger,
+            "after_drain": self._after_drain,
+            "measured": self._measured,
+            "seconds": time.time() - self._started,
+        }
+
+    def _control(self, request):
+        document = json.loads(request.body)
+        known = {field.name for field in fields(Troubles)}
+        unknown = set(document) - known
+        if unknown:
+            return 400, {"field": sorted(unknown)[0], "reason": "no such trouble"}
+        for name, value in document.items():
+            setattr(self.troubles, name, value)
+        if document.get("cold_seconds"):
+            self._started = time.time()
+        if "draining" in document:
+            self._drained_at = time.time() if document["draining"] else None
+        return 200, {"set": document}
+
+    # -- calls ------------------------------------------------------------
+
+    async def _serve(self, request):
+        if self.troubles.fail_status:
+            self._respond(request, self.troubles.fail_status, b"failing")
+            return
+        if self.troubles.shed_above and self._waiting >= self.troubles.shed_above:
+            self._respond(request, 503, b"shed")
+            return
+        self._waiting += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self._waiting -= 1
+        self._running += 1
+        try:
+            await self._run(request)
+        finally:
+            self._running -= 1
+            self._slots.release()
+
+    async def _run(self, request):
+        name = request.headers.get(LEDGER_ID, "")
+        self._ledger[name] += 1
+        if self._drained_at is not None and time.time() - self._drained_at > 2.0:
+            self._after_drain += 1
+        if self._mean:
+            await asyncio.sleep(self._service_seconds())
+        deep = int(request.query_arguments.get("deep", [b"0"])[0])
+        if deep > 0 and not await self._call_deeper(request, deep):
+            self._respond(request, 502, b"a deeper call failed")
+            return
+        size = int(request.query_arguments.get("size", [b"64"])[0])
+        self._answer(request, expected_body(name, size, request.body))
+
+    def _service_seconds(self):
+        factor = self.troubles.slow_factor * (COLD_FACTOR if self._cold else 1.0)
+        # The mean of a lognormal is exp(mu + sigma^2 / 2).
+        draw = self._random.lognormvariate(-self._sigma**2 / 2, self._sigma)
+        return self._mean * draw * factor
+
+    async def _call_deeper(self, request, deep):
+        path = request.query_arguments.get("path", [request.path.encode()])[0].decode()
+        headers = {n: request.headers[n] for n in _PASSED_ON if n in request.headers}
+        headers[LEDGER_ID] = f"{request.headers.get(LEDGER_ID, '')}/{deep}"
+        left = int(request.headers.get(TIME_LEFT, "5000"))
+        headers[TIME_LEFT] = str(left)
+        url = f"http://{self._node}{path}?deep={deep - 1}"
+        client = AsyncHTTPClient()
+        try:
+            await client.fetch(url, headers=headers, request_timeout=max(0.001, left / 1000))
+        except (HTTPError, OSError, pycurl.error):
+            return False
+        return True
+
+    def _answer(self, request, body):
+        if self.troubles.die_after_run:
+            request.connection.stream.close()
+        elif self.troubles.die_mid_answer:
+            start = ResponseStartLine("", 200, "OK")
+            headers = HTTPHeaders({"Content-Length": str(len(body))})
+            request.connection.write_headers(start, headers, body[: len(body) // 2])
+            asyncio.get_running_loop().call_later(0.01, request.connection.stream.close)
+        else:
+            self._respond(request, 200, body)
+
+    def _respond(self, request, status, body):
+        start = ResponseStartLine("", status, "OK" if status == 200 else "Trouble")
+        headers = HTTPHeaders({"Content-Length": str(len(body))})
+        if request.method == "HEAD":
+            body = b""
+        request.connection.write_headers(start, headers, body)
+        request.connection.finish()
--- /dev/null
+++ b/caperstack/standin/configuration.py
@@ -0,0 +1,155 @@
+"""A stand-in configuration service: read and watched by nodes, changed by operators only."""
+
+import asyncio
+import json
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+__all__ = ["StandinConfiguration"]
+
+WATCH_SECONDS = 30.0
+
+
+class _Entry:
+    def __init__(self, revision, value):
+        self.revision = revision
+        self.value = value
+
+
+class _Handler(RequestHandler):
+    def initialize(self, service):
+        self.service = service
+
+    def counted(self):
+        """Count a call; answer 503 and return false during an outage."""
+        self.service.calls += 1
+        if self.service.outage:
+            self.set_status(503)
+            self.write({"reason": "outage"})
+            return False
+        return True
+
+
+class _Index(_Handler):
+    def get(self):
+        if self.counted():
+            self.write(self.service.index())
+
+
+class _Subtree(_Handler):
+    def get(self, path):
+        if not self.counted():
+            return
+        entry = self.service.visible.get(path.strip("/"))
+        if entry is None:
+            self.set_status(404)
+            self.write({"reason": "no such subtree"})
+            return
+        self.write({"path": path.strip("/"), "revision": entry.revision, "value": entry.value})
+
+    def put(self, path):
+        revision = self.service.change(path.strip("/"), json.loads(self.request.body))
+        self.write({"revision": revision})
+
+    def delete(self, path):
+        self.write({"revision": self.service.change(path.strip("/"), None)})
+
+
+class _Watch(_Handler):
+    async def get(self):
+        if not self.counted():
+            return
+        after = int(self.get_query_argument("after"))
+        await self.service.wait_beyond(after, WATCH_SECONDS)
+        if not self.service.outage:
+            self.write(self.service.index())
+        else:
+            self.set_status(503)
+
+
+class _Control(_Handler):
+    def post(self):
+        document = json.loads(self.request.body)
+        service = self.service
+        service.outage = document.get("outage", service.outage)
+        service.lag_seconds = document.get("lag_seconds", service.lag_seconds)
+        if "stale" in document:
+            service.freeze(document["stale"])
+        service.wake()
+        self.write({"outage": service.outage, "lag_seconds": service.lag_seconds})
+
+
+class _Count(_Handler):
+    def get(self):
+        self.write({"calls": self.service.calls})
+
+
+class StandinConfiguration:
+    """Subtrees with revisions, a count of calls, and outage, lag and staleness on command."""
+
+    def __init__(self, port):
+        self._port = port
+        self._entries = {}
+        self._revision = 0
+        self._changed = asyncio.Event()
+        self._frozen = False
+        self._server = None
+        self.visible = {}
+        self.calls = 0
+        self.outage = False
+        self.lag_seconds = 0.0
+
+    async def start(self):
+        """Listen."""
+        arguments = {"service": self}
+        application = Application(
+            [
+                ("/v1/subtrees", _Index, arguments),
+                ("/v1/subtrees/(.*)", _Subtree, arguments),
+                ("/v1/watch", _Watch, arguments),
+                ("/control", _Control, arguments),
+                ("/calls", _Count, arguments),
+            ],
+            log_function=lambda handler: None,
+        )
+        self._server = HTTPServer(application)
+        self._server.listen(self._port, "127.0.0.1", backlog=1024)
+
+    def index(self):
+        """Return the revision and that of each visible subtree."""
+        revisions = {path: entry.revision for path, entry in self.visible.items()}
+        return {"revision": max(revisions.values(), default=0), "subtrees": revisions}
+
+    def change(self, path, value):
+        """Set a subtree, or delete it with ``None``; return the new revision."""
+        self._revision += 1
+        self._entries[path] = _Entry(self._revision, value)
+        entry = self._entries[path]
+        asyncio.get_running_loop().call_later(self.lag_seconds, self._show, path, entry)
+        return self._revision
+
+    def freeze(self, frozen):
+        """Serve what is visible now, whatever changes, as a stale replica does."""
+        self._frozen = frozen
+        if not frozen:
+            self.visible = dict(self._entries)
+
+    def _show(self, path, entry):
+        if not self._frozen:
+            self.visible[path] = entry
+            self.wake()
+
+    def wake(self):
+        """Wake all watches."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def wait_beyond(self, after, seconds):
+        """Wait until the visible revision exceeds `after`, an outage, or the time is up."""
+        try:
+            async with asyncio.timeout(seconds):
+                while self.index()["revision"] <= after and not self.outage:
+                    await self._changed.wait()
+        except TimeoutError:
+            return
--- /dev/null
+++ b/caperstack/standin/hosts.py
@@ -0,0 +1,56 @@
+"""A stand-in for the platform's lagging list of live and leaving hosts."""
+
+import asyncio
+import json
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+__all__ = ["StandinHostList"]
+
+
+class _Hosts(RequestHandler):
+    def initialize(self, service):
+        self.service = service
+
+    def get(self):
+        self.service.calls += 1
+        if self.service.outage:
+            self.set_status(503)
+            return
+        self.write({"hosts": list(self.service.visible.values())})
+
+    def put(self):
+        document = json.loads(self.request.body)
+        self.service.change({entry["host"]: entry for entry in document["hosts"]})
+
+    def post(self):
+        document = json.loads(self.request.body)
+        self.service.outage = document.get("outage", self.service.outage)
+        self.service.lag_seconds = document.get("lag_seconds", self.service.lag_seconds)
+
+
+class StandinHostList:
+    """A list of hosts that shows its changes late."""
+
+    def __init__(self, port, hosts=()):
+        self._port = port
+        self._server = None
+        self.visible = {entry["host"]: entry for entry in hosts}
+        self.calls = 0
+        self.outage = False
+        self.lag_seconds = 0.0
+
+    async def start(self):
+        """Listen."""
+        application = Application(
+            [("/hosts", _Hosts, {"service": self})], log_function=lambda handler: None
+        )
+        self._server = HTTPServer(application)
+        self._server.listen(self._port, "127.0.0.1", backlog=1024)
+
+    def change(self, hosts):
+        """Replace the list, visible after the lag."""
+        asyncio.get_running_loop().call_later(
+            self.lag_seconds, lambda: setattr(self, "visible", hosts)
+        )
