--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 RUN = $(VENV)/bin/python
 READY = $(VENV)/.ready
 
-.PHONY: demo serve test check format clean bench-hop torture
+.PHONY: demo serve test check format clean bench-hop bench-routing torture
 
 TORTURE ?= --seconds 200 --seeds 1 2 3
 
@@ -24,6 +24,9 @@
 	$(VENV)/bin/black --quiet caperstack
 	$(VENV)/bin/ruff check --fix caperstack
 
+bench-routing: $(READY)
+	$(RUN) -m caperstack.bench.routing
+
 bench-hop: $(READY)
 	$(RUN) -m caperstack.bench.hop
 
--- a/caperstack/admission/limit.py
+++ b/caperstack/admission/limit.py
@@ -1,23 +1,48 @@
 """The adaptive limit: how many calls a backend server may run at once."""
 
+import math
+
+from caperstack.averages import TimedAverage
 from caperstack.clock import deadline_after, now
 
 __all__ = ["FailureShare", "ServiceTimes", "SlotLimit"]
 
-#: Weight of one sample in the fast and in the slow average of service times.
+#: Weight of one call in the recent service time and in the share of failures.
 FAST_WEIGHT = 0.1
-SLOW_WEIGHT = 0.005
 
-#: A backend server is slowed once its fast average exceeds the slow one by this.
-TOLERANCE = 2.0
+#: The time over which the recent one fades to the usual one without calls, and
+#: the usual one to nothing, in seconds.
+FADE_SECONDS = 0.2
+FORGET_SECONDS = 10.0
+
+#: A server whose last calls took this many times longer than usual is tried
+#: with a call or two first.
+DOUBT = 2.0
+EXPLORERS = 2
+
+#: The times over which the middle average follows, and the usual time rises.
+MEDIUM_SECONDS = 1.0
+USUAL_SECONDS = 60.0
+
+#: So many calls make the first usual time.
+FIRST_CALLS = 50
+
+#: A backend server is slowed once its recent time exceeds the usual one by
+#: this.  With heavy-tailed service times the mean age of twenty running calls
+#: is often twice the usual time by chance, rarely four times.
+TOLERANCE = 4.0
 
 #: The limit never falls below this share of the slots, so that a backend
 #: server whose load is cured can show it.
-LEAST_SHARE = 0.25
+LEAST_SHARE = 0.5
 
 #: How long the limit rests after a change, in seconds.
 REST_SECONDS = 0.1
 
+#: The share of failures that closes the gate, and how often a call may probe.
+GATE_SHARE = 0.5
+PROBE_SECONDS = 0.1
+
 #: Service time that is assumed before the first answer, in seconds.
 FIRST_GUESS = 0.02
 
@@ -27,13 +52,20 @@
 
     def __init__(self):
         self._fast = None
-        self._slow = None
+        self._medium = TimedAverage(FIRST_GUESS, MEDIUM_SECONDS)
+        self._usual = FIRST_GUESS
         self._started = {}
+        self._ended_at = now()
 
     @property
     def usual(self):
-        """The slow average in seconds."""
-        return FIRST_GUESS if self._slow is None else self._slow
+        """The lowest average of late, in seconds; it rises slowly.
+
+        Notes
+        -----
+        An average alone would take a slowdown for usual while it lasts.
+        """
+        return self._usual
 
     @property
     def recent(self):
@@ -44,13 +76,30 @@
         A server that slows down answers late, so answers alone would show it
         late.  The age of the calls that still run shows it while they run.
         """
-        fast = FIRST_GUESS if self._fast is None else self._fast
+        fast = self._faded()
         if not self._started:
             return fast
         moment = now()
         ages = sum(moment - start for start in self._started.values()) / len(self._started)
         return max(fast, ages)
 
+    @property
+    def doubtful(self):
+        """Whether the last calls were slow, but so long ago that it may have changed."""
+        if self._fast is None or now() - self._ended_at < FADE_SECONDS:
+            return False
+        return self._fast > DOUBT * self._usual
+
+    def _faded(self):
+        # Failure: a server that was slow gets no calls, so nothing shows that
+        # it is quick again, and it stays idle for good.  What the last calls
+        # showed fades, and a call or two try it.
+        if self._fast is None:
+            return FIRST_GUESS
+        idle = now() - self._ended_at
+        excess = (self._fast - self._usual) * math.exp(-idle / FADE_SECONDS)
+        return self._usual * math.exp(-idle / FORGET_SECONDS) + excess
+
     def begin(self, number):
         """Note that call `number` starts now."""
         self._started[number] = now()
@@ -60,24 +109,47 @@
         elapsed = now() - self._started.pop(number)
         if not counts:
             return
-        if self._fast is None:
-            self._fast = self._slow = elapsed
-            return
-        self._fast += FAST_WEIGHT * (elapsed - self._fast)
-        self._slow += SLOW_WEIGHT * (elapsed - self._slow)
+        fast = elapsed if self._fast is None else self._faded()
+        self._fast = fast + FAST_WEIGHT * (elapsed - fast)
+        self._medium.add(elapsed)
+        gap = self._medium.value - self._usual
+        seconds = now() - self._ended_at
+        follows = gap < 0 or self._medium.count <= FIRST_CALLS
+        self._usual += gap if follows else gap * min(1.0, seconds / USUAL_SECONDS)
+        self._ended_at = now()
 
 
 class FailureShare:
-    """The share of recent calls that failed."""
+    """The share of recent calls that failed, and a gate that closes on too many.
+
+    Notes
+    -----
+    Failure: a server answers errors at once, has free slots and the shortest
+    service time of all, and so draws more and more calls.  While most of its
+    calls fail, the owner refuses them, which proves that they did not run and
+    costs no retry, and lets a few through to see whether it is cured.  A call
+    that has no other server to go to passes all the same: when all servers
+    fail, their own errors tell the caller more than a refusal.
+    """
 
     def __init__(self):
         self._share = 0.0
+        self._probe_at = 0.0
 
     @property
     def percent(self):
         """The share as whole percent."""
         return int(self._share * 100)
 
+    def passes(self):
+        """Return whether a call that could go elsewhere may run here."""
+        if self._share < GATE_SHARE:
+            return True
+        if now() < self._probe_at:
+            return False
+        self._probe_at = deadline_after(PROBE_SECONDS)
+        return True
+
     def add(self, failed):
         """Note one more call."""
         self._share += FAST_WEIGHT * (failed - self._share)
@@ -104,7 +176,7 @@
     @property
     def limit(self):
         """The calls that may run at once now."""
-        return self._limit
+        return min(EXPLORERS, self._limit) if self._times.doubtful else self._limit
 
     def start_cold(self):
         """Begin with the least limit and climb from there."""
--- a/caperstack/admission/owner.py
+++ b/caperstack/admission/owner.py
@@ -12,8 +12,14 @@
 
 __all__ = ["Owner"]
 
-#: Waiting calls per slot; more would wait longer than a move elsewhere takes.
-QUEUE_PER_SLOT = 2
+#: Calls beyond the slots, as a share of them.  A slot stands empty while an
+#: answer is on its way to the owner and the next call on its way back, a tenth
+#: of the time under load; a few calls more keep the slots busy.
+SPARE_SHARE = 0.1
+
+#: Waiting calls per slot that bound the queue's memory; what limits its length
+#: in practice is whether a call can still finish in time.
+QUEUE_PER_SLOT = 16
 
 #: How long and how many ended or revoked calls are remembered, so that a
 #: revocation that comes late is answered truthfully.
@@ -53,7 +59,7 @@
         self._settings = settings
         self._client = client
         self._times = ServiceTimes()
-        self._limit = SlotLimit(settings.slots, self._times)
+        self._limit = SlotLimit(settings.slots + _spare(settings.slots), self._times)
         self._queue = AdmissionQueue(settings.slots * QUEUE_PER_SLOT)
         self._failures = FailureShare()
         self._published = 0
@@ -133,9 +139,16 @@
         """The backend server has just started: begin with few slots."""
         self._limit.start_cold()
 
-    async def run(self, call):
+    async def run(self, call, queued=None):
         """Run `call` or refuse it; return its `Outcome`.
 
+        Parameters
+        ----------
+        call : caperstack.calls.model.Call
+            The call.
+        queued : callable, optional
+            Called if the call has to wait, so that the entry learns of it.
+
         Notes
         -----
         The outcome is remembered under the call's identifier.  A call that
@@ -149,7 +162,7 @@
         record.task = asyncio.current_task()
         outcome = None
         try:
-            outcome = await self._admit_and_run(call, record)
+            outcome = await self._admit_and_run(call, record, queued)
         except Exception as error:
             # A fault in this program must not leave a caller without an answer.
             self._events.state("fault", "none", f"{type(error).__name__}: {error}")
@@ -210,8 +223,8 @@
             return
         record.outcome.set_result(outcome)
 
-    async def _admit_and_run(self, call, record):
-        refusal = await self._admit(call)
+    async def _admit_and_run(self, call, record, queued):
+        refusal = await self._admit(call, queued)
         if refusal is not None:
             self._metrics.refused(refusal.reason)
             return refusal
@@ -225,20 +238,22 @@
         finally:
             self._release()
 
-    async def _admit(self, call):
+    async def _admit(self, call, queued):
         """Take a slot and return ``None``, or return the `NotRun` that refuses."""
         if self._state in (ServerState.LEAVING, ServerState.DOWN):
             return NotRun("backend server is leaving", 0.0)
         refusal = self._last_check(call)
         if refusal is not None:
             return refusal
+        if not call.last and not self._failures.passes():
+            return NotRun("backend server fails", 0.1)
         self._limit.adjust()
         if self._running < self._limit.limit and not len(self._queue):
             self._running += 1
             return None
-        return await self._wait_for_slot(call)
+        return await self._wait_for_slot(call, queued)
 
-    async def _wait_for_slot(self, call):
+    async def _wait_for_slot(self, call, queued):
         wait = self._expected_wait(call)
         last_start = min(call.queue_until, call.deadline - self._times.usual)
         if now() + wait > last_start:
@@ -247,6 +262,8 @@
             return NotRun("queue is full", wait)
         waiter = self._queue.add(call)
         call.notes.append((now(), "queued"))
+        if queued is not None:
+            queued()
         try:
             async with asyncio.timeout_at(last_start):
                 reason = await waiter.admitted
@@ -315,5 +332,9 @@
             self._running += 1
 
 
+def _spare(slots):
+    return round(slots * SPARE_SHARE)
+
+
 def _broken_off(reason, record):
     return Unknown(reason) if record.dispatched else NotRun(reason, 0.0)
--- a/caperstack/calls/model.py
+++ b/caperstack/calls/model.py
@@ -67,6 +67,8 @@
         The caller's idempotency key, or empty.
     depth : int
         How many calls lie above this one in its tree of calls.
+    last : bool
+        There is no other backend server left to try.
     notes : list of (float, str)
         What happened to the call here, for the time line.
     """
@@ -85,6 +87,7 @@
     key: str = ""
     depth: int = 0
     queue_until: float = 0.0
+    last: bool = False
     notes: list = field(default_factory=list)
 
 
--- a/caperstack/operators/metrics.py
+++ b/caperstack/operators/metrics.py
@@ -64,12 +64,12 @@
         """Return ``(body, headers)`` in the format that `accept` asks for."""
         registry = Registry()
         for name, tally in self._tallies.items():
-            metric = Counter(f"caperstack_{name}_total", name.replace("_", " "), self._labels)
-            registry.register(metric)
+            metric = Counter(
+                f"caperstack_{name}_total", name.replace("_", " "), self._labels, registry
+            )
             for key, number in tally.items():
                 metric.set(dict(key), number)
         for name, help_text, read in self._gauges:
-            metric = Gauge(f"caperstack_{name}", help_text, self._labels)
-            registry.register(metric)
+            metric = Gauge(f"caperstack_{name}", help_text, self._labels, registry)
             metric.set({}, read())
         return render(registry, accept)
--- a/caperstack/peers/links.py
+++ b/caperstack/peers/links.py
@@ -79,6 +79,10 @@
     def touch(self):
         """Nothing to open."""
 
+    def freshen(self, estimate):
+        """Tell `estimate` the exact load, which costs nothing here."""
+        estimate.take_load(self._owner.load)
+
 
 class Link:
     """The way to a remote owner: a connection that is dialled again when lost.
@@ -121,6 +125,9 @@
         if self._task is None or self._task.done():
             self._task = asyncio.create_task(self._keep_open())
 
+    def freshen(self, estimate):
+        """Nothing: a remote load is known as it was last told."""
+
     def close(self):
         """Close the link for good."""
         if self._task is not None:
--- a/caperstack/peers/messages.py
+++ b/caperstack/peers/messages.py
@@ -73,6 +73,7 @@
     idempotent: bool
     criticality: int
     depth: int
+    last: bool
     clock: int
 
 
--- a/caperstack/peers/port.py
+++ b/caperstack/peers/port.py
@@ -171,7 +171,7 @@
         begun = now()
         self._calls += 1
         try:
-            outcome = await self._owner.run(call)
+            outcome = await self._owner.run(call, lambda: self._tell_load(connection))
             self._events.call("owner", call, outcome, begun)
             await self._reply(call.id, outcome, connection)
         finally:
@@ -198,6 +198,11 @@
             # The entry will ask again over a new connection: Owner remembers.
             self._metrics.count("replies_without_connection")
 
+    def _tell_load(self, connection):
+        # A call that waits brings no answer for long, and its entry would go
+        # on sending: it hears of the queue at once.
+        self._send(connection, State(load_report(self._owner.load)))
+
     def _send(self, connection, message):
         try:
             connection.send(message)
--- a/caperstack/peers/translate.py
+++ b/caperstack/peers/translate.py
@@ -51,6 +51,7 @@
         call.idempotent,
         call.criticality,
         call.depth,
+        call.last,
         clock,
     )
 
@@ -82,6 +83,7 @@
         criticality=message.criticality,
         depth=message.depth,
         queue_until=sent + message.queue_us / 1e6,
+        last=message.last,
     )
 
 
--- a/caperstack/routing/dispatch.py
+++ b/caperstack/routing/dispatch.py
@@ -4,6 +4,7 @@
 import copy
 import random
 
+from caperstack.averages import TimedAverage
 from caperstack.calls.model import Answered, NotRun, ServerState, Unknown, call_ids
 from caperstack.clock import deadline_after, now, time_left
 from caperstack.exception import PeerError
@@ -19,6 +20,11 @@
 #: The usual time of a service before its first answer, in seconds.
 FIRST_USUAL_SECONDS = 0.02
 
+#: The time over which the usual time follows, in seconds, and how many times
+#: longer than usual a call may count.
+USUAL_SECONDS = 10.0
+OUTLIER = 10.0
+
 #: A hedge goes out after this many usual service times.
 HEDGE_AFTER = 4.0
 HEDGE_LEAST_SECONDS = 0.02
@@ -38,11 +44,16 @@
         self.policy = policy_named(name)
         self.retries = CallBudget()
         self.hedges = CallBudget()
-        self.usual_seconds = FIRST_USUAL_SECONDS
+        self._usual = TimedAverage(FIRST_USUAL_SECONDS, USUAL_SECONDS)
+
+    @property
+    def usual_seconds(self):
+        """How long a call usually takes, in seconds."""
+        return self._usual.value
 
     def take_time(self, seconds):
-        """Note how long an answered call took."""
-        self.usual_seconds += 0.02 * (min(seconds, 4 * self.usual_seconds) - self.usual_seconds)
+        """Note how long an answered call took; a very long one counts in part."""
+        self._usual.add(min(seconds, OUTLIER * self._usual.value))
 
 
 class Dispatcher:
@@ -93,23 +104,34 @@
 
     # -- one attempt after the other --------------------------------------
 
-    async def _try_in_turn(self, call, state, settings, tried):
+    async def _try_in_turn(self, call, state, settings, tried, queues=True):
+        """Try members until one answers; with `queues` wait at the best as a last resort.
+
+        Notes
+        -----
+        First each member is asked whether it can run the call about now.  When
+        as many as the settings allow have refused, the call goes to the best
+        of all, refused or not, and waits there until its deadline.
+        """
         refusals = 0
         best = NotRun("no backend server known", 1.0)
         while time_left(call.deadline) > 0:
-            member = self._choose(call, state, tried)
+            asks = refusals < settings.refusals_per_call
+            member = self._choose(call, state, self._free(call, state, tried)) if asks else None
+            last = member is None
+            if last and queues:
+                member = self._choose(call, state, self._open(call))
             if member is None:
                 return best
             tried.append(member)
-            last = refusals >= settings.refusals_per_call
             outcome = await self._attempt(call, member, state, last)
             best = min(outcome, best, key=_preference)
+            if last or _final(outcome):
+                return best
             if isinstance(outcome, NotRun):
                 refusals += 1
-                if refusals > settings.refusals_per_call:
-                    return best
                 self._metrics.count("moves", service=call.service)
-            elif _final(outcome) or not self._may_repeat(call, state):
+            elif not self._may_repeat(call, state):
                 return best
         return best
 
@@ -125,7 +147,11 @@
     async def _attempt(self, call, member, state, last):
         attempt = copy.copy(call)
         attempt.id = next(self._numbers)
-        attempt.queue_until = self._queue_until(call, state, last)
+        attempt.last = last or len(self._members.of_service(call.service)) < 2
+        attempt.queue_until = call.deadline
+        if not attempt.last:
+            patience = deadline_after(PATIENCE * state.usual_seconds)
+            attempt.queue_until = min(call.deadline, patience)
         call.notes.append((now(), f"to {member.host}"))
         begun = now()
         member.estimate.begin()
@@ -138,13 +164,6 @@
         call.notes.append((now(), f"{member.host}: {_short(outcome)}"))
         return outcome
 
-    def _queue_until(self, call, state, last):
-        # Few members: waiting a little where the call is beats a round trip
-        # to a server that is as busy.
-        if last or len(self._members.of_service(call.service)) < 2:
-            return call.deadline
-        return min(call.deadline, deadline_after(PATIENCE * state.usual_seconds))
-
     async def _run(self, attempt, member):
         try:
             return await member.owner.run(attempt)
@@ -168,12 +187,32 @@
 
     # -- choice -----------------------------------------------------------
 
-    def _choose(self, call, state, tried):
-        members = [
+    def _open(self, call):
+        """Return the members that may get new work."""
+        members = [m for m in self._members.of_service(call.service) if not m.leaving]
+        for member in members:
+            member.owner.freshen(member.estimate)
+        return members
+
+    def _free(self, call, state, tried):
+        """Return the untried members that may run a call about now.
+
+        Notes
+        -----
+        Failure: when all servers are busy, each call asks one after the other
+        and is refused by all; the asking takes the nodes' processors, and what
+        was a full queue becomes an outage that outlasts its cause.  A refusal
+        brings the owner's exact load, so the next call knows and does not ask.
+        """
+        patience = PATIENCE * state.usual_seconds
+        return [
             member
-            for member in self._members.of_service(call.service)
-            if not member.leaving and member not in tried
+            for member in self._open(call)
+            if member not in tried
+            and member.estimate.expected_wait(state.usual_seconds) <= patience
         ]
+
+    def _choose(self, call, state, members):
         if not members:
             return None
         context = Context(self._here.zone, self._here.region, state.usual_seconds, self._rng)
@@ -221,7 +260,10 @@
     async def _race(self, call, state, settings, tried, first):
         self._metrics.count("hedges", service=call.service)
         call.notes.append((now(), "hedged"))
-        second = asyncio.ensure_future(self._try_in_turn(call, state, settings, tried))
+        # A hedge never queues: where no slot is free it would only add load.
+        second = asyncio.ensure_future(
+            self._try_in_turn(call, state, settings, tried, queues=False)
+        )
         racers = {first, second}
         outcomes = []
         try:
--- a/caperstack/routing/estimates.py
+++ b/caperstack/routing/estimates.py
@@ -5,8 +5,16 @@
 
 __all__ = ["Estimate"]
 
-#: How long a load that rode back on an answer is trusted, in seconds.
-TRUST_SECONDS = 0.5
+#: How long calls in flight and waiting, as told by a load that rode back, are
+#: trusted, in seconds; and how long the service time in it is.
+LOAD_SECONDS = 0.5
+SERVICE_SECONDS = 5.0
+
+#: How much a full server without a queue counts worse than an empty one.
+EMPTIER = 0.2
+
+#: Own calls that may be out to a server of which nothing is known lately.
+EXPLORERS = 2
 
 #: How often the published report is taken over, in seconds; for the baselines.
 PUBLISHED_SECONDS = 1.0
@@ -36,7 +44,7 @@
         self.in_flight = 0
         self._load = Load(limit=FIRST_LIMIT)
         self._own_at_load = 0
-        self._trust_until = 0.0
+        self._heard_at = 0.0
         self._published = 0
         self._published_until = 0.0
         self._failing = 0.0
@@ -62,11 +70,11 @@
     @property
     def failing(self):
         """The share of recent calls that failed, from 0 to 1."""
-        return max(self._failing, self._load.failing / 100 * self._trust())
+        return max(self._failing, self._load.failing / 100 * self._trust(SERVICE_SECONDS))
 
-    def _trust(self):
-        left = self._trust_until - now()
-        return left / TRUST_SECONDS if left > 0 else 0.0
+    def _trust(self, seconds):
+        """Return the trust in what was heard, fading from 1 to 0 over `seconds`."""
+        return max(0.0, 1.0 - (now() - self._heard_at) / seconds)
 
     def expected_seconds(self, usual):
         """Return the expected seconds from arrival to answer.
@@ -83,14 +91,30 @@
         calls are known exactly.  A server that nobody called lately drifts
         back to the usual time, so it is tried again.
         """
+        crowding = self._crowding()
+        usable = max(0.05, 1.0 - self.failing)
+        service = self._service_seconds(usual)
+        preference = EMPTIER * min(1.0, crowding)
+        return service * (max(1.0, crowding) + preference) / usable**2
+
+    def expected_wait(self, usual):
+        """Return the expected seconds from arrival until a slot is free."""
+        return self._service_seconds(usual) * max(0.0, self._crowding() - 1.0)
+
+    def _service_seconds(self, usual):
+        trust = self._trust(SERVICE_SECONDS)
+        return trust * self._load.service_us / 1e6 + (1 - trust) * usual
+
+    def _crowding(self):
+        # Failure: nothing is known lately of a server that has become slow, so
+        # it looks free, and each entry sends it a dozen calls before the first
+        # answer tells.  Until something is heard, two calls make it look full.
         load = self._load
-        trust = self._trust()
+        trust = self._trust(LOAD_SECONDS)
+        if not trust:
+            return (self.in_flight + 1) / EXPLORERS
         others = max(0, load.in_flight + load.queued - self._own_at_load)
-        total = self.in_flight + others * trust
-        crowding = (total + 1) / max(1, load.limit)
-        usable = max(0.05, 1.0 - self.failing)
-        service = trust * load.service_us / 1e6 + (1 - trust) * usual
-        return service * max(1.0, crowding) * (1 + 0.2 * crowding) / usable**2
+        return (self.in_flight + others * trust + 1) / max(1, load.limit)
 
     def begin(self):
         """Note that a call goes there."""
@@ -104,7 +128,7 @@
         """Note the `Load` that came from the owner."""
         self._load = load
         self._own_at_load = self.in_flight
-        self._trust_until = deadline_after(TRUST_SECONDS)
+        self._heard_at = now()
         if now() >= self._published_until:
             self._published = load.published
             self._published_until = deadline_after(PUBLISHED_SECONDS)
