--- a/caperstack/bench/routing.py
+++ b/caperstack/bench/routing.py
@@ -181,7 +181,7 @@
         answer = await path.fetch(_call())
     except BackendError:
         failures.append(now() - due)
-            return
+        return
     (latencies if answer.status == 200 else failures).append(now() - due)
 
 
