Links share one heartbeat and ping only when nothing is heard; subsets of large services

Now one task looks after all links, what is heard counts as heartbeat, and an idle link is pinged every 5 s.

--- /dev/null
+++ b/caperstack/membership/subset.py
@@ -0,0 +1,37 @@
+"""The bounded subset of a large service that one entry keeps links to."""
+
+import xxhash
+
+__all__ = ["SUBSET", "subset_of"]
+
+#: Members of one service that an entry calls; half of them in its own zone.
+SUBSET = 24
+
+
+def subset_of(members, here):
+    """Return at most `SUBSET` of `members` for the entry `here`, spread over zones.
+
+    Parameters
+    ----------
+    members : list
+        With ``host`` and ``zone``.
+    here : object
+        The entry's ``host`` and ``zone``.
+
+    Notes
+    -----
+    Each entry ranks the members by a hash of both names, so that subsets of
+    different entries differ and all members get the same share of entries.
+    """
+    if len(members) <= SUBSET:
+        return list(members)
+    near = _ranked([m for m in members if m.zone == here.zone], here)
+    far = _ranked([m for m in members if m.zone != here.zone], here)
+    chosen = near[: max(SUBSET // 2, SUBSET - len(far))]
+    return chosen + far[: SUBSET - len(chosen)]
+
+
+def _ranked(members, here):
+    return sorted(
+        members, key=lambda m: xxhash.xxh3_64_intdigest(f"{here.host}\0{m.host}".encode())
+    )
--- a/caperstack/peers/links.py
+++ b/caperstack/peers/links.py
@@ -30,8 +30,11 @@
 REDIAL_SECONDS = 0.1
 REDIAL_SECONDS_MOST = 2.0
 
-#: Heartbeats: one a second on each link, and the silence that makes it suspect.
+#: Heartbeats: what is heard on a link is one.  Without, a ping goes out after a
+#: second where calls wait and after some seconds on an idle link; so long after
+#: the silence counts.
 PING_SECONDS = 1.0
+IDLE_PING_SECONDS = 5.0
 SILENT_SECONDS = 2.5
 
 #: How long a link that nobody used stays open.
@@ -105,6 +108,7 @@
         self._up = asyncio.Event()
         self._used_until = 0.0
         self._heard_at = 0.0
+        self._awaits_pong = False
         self._failures = 0
 
     @property
@@ -112,7 +116,7 @@
         """Whether calls can be sent now; a link not yet tried counts as usable."""
         if self._connection is None:
             return self._failures == 0
-        return now() - self._heard_at < SILENT_SECONDS
+        return not self._awaits_pong or now() - self._heard_at < SILENT_SECONDS
 
     @property
     def connection(self):
@@ -253,14 +257,13 @@
 
     async def _serve_one_connection(self):
         connection = await self._dial()
-        heartbeat = asyncio.create_task(self._beat(connection))
         try:
             await self._greet(connection)
             async for message, body in connection.messages():
                 self._heard_at = connection.arrival
+                self._awaits_pong = False
                 self._take(message, body)
         finally:
-            heartbeat.cancel()
             connection.abort()
             self._lost()
 
@@ -291,21 +294,24 @@
         self._up.set()
         self._links.opened(self._member, connection)
 
-    async def _beat(self, connection):
-        while True:
-            await asyncio.sleep(PING_SECONDS)
-            if self._connection is connection:
-                self._send_quietly(Ping(0, self._links.events.clock.tick()))
-            if self._connection is connection and now() - self._heard_at > SILENT_SECONDS:
-                # Failure: in a partition nothing breaks the connection, and a
-                # listing that waits for its answer hangs until its deadline.
-                # Broken from here, it is tried elsewhere, and a booking is
-                # asked after over a new connection.
-                self._member.estimate.mark_down()
-                connection.abort()
-            # Without calls a link closes; a call in flight keeps it open.
-            if now() > self._used_until and not self._pending:
-                connection.close()
+    def beat(self):
+        """Look after the connection, once a second: heartbeat, silence, disuse."""
+        connection = self._connection
+        if connection is None:
+            return
+        quiet = now() - self._heard_at
+        if quiet > SILENT_SECONDS + (0 if self._awaits_pong else IDLE_PING_SECONDS):
+            # Failure: in a partition nothing breaks the connection, and a
+            # listing that waits for its answer hangs until its deadline.
+            # Broken from here, it is tried elsewhere, and a booking is asked
+            # after over a new connection.
+            self._member.estimate.mark_down()
+            connection.abort()
+        elif now() > self._used_until and not self._pending:
+            connection.close()
+        elif quiet >= (PING_SECONDS if self._pending else IDLE_PING_SECONDS):
+            self._awaits_pong = True
+            self._send_quietly(Ping(0, self._links.events.clock.tick()))
 
     def _lost(self):
         was_up, self._connection = self._connection is not None, None
@@ -379,12 +385,21 @@
         self.members = kernel.find("members")
         self._owner = kernel.find("owner")
         self.members.listen(self._on_member)
+        self._heart = asyncio.create_task(self._beat())
 
     async def stop(self):
         """Close all links."""
+        self._heart.cancel()
         for link in self._links.values():
             link.close()
 
+    async def _beat(self):
+        # One task for all links: a timer for each took most of a link's cost.
+        while True:
+            await asyncio.sleep(PING_SECONDS)
+            for link in list(self._links.values()):
+                link.beat()
+
     def hello(self):
         """Return this node's hello."""
         return hello_of(self._here, self.incarnation, self._owner.load)
--- a/caperstack/routing/dispatch.py
+++ b/caperstack/routing/dispatch.py
@@ -8,6 +8,7 @@
 from caperstack.calls.model import Answered, NotRun, ServerState, Unknown, call_ids
 from caperstack.clock import deadline_after, now, time_left
 from caperstack.exception import PeerError
+from caperstack.membership.subset import subset_of
 from caperstack.routing.budgets import CallBudget, share_at_depth
 from caperstack.routing.policies import Context, choose, policy_named
 
@@ -70,6 +71,7 @@
         self._rng = rng or random.Random()
         self._numbers = call_ids()
         self._services = {}
+        self._subsets = {}
 
     async def start(self, kernel):
         """Find the services that this one needs."""
@@ -188,12 +190,25 @@
     # -- choice -----------------------------------------------------------
 
     def _open(self, call):
-        """Return the members that may get new work."""
-        members = [m for m in self._members.of_service(call.service) if not m.leaving]
+        """Return the members of this entry's subset that may get new work."""
+        members = self._usable(self._subset(call.service))
+        if not members:
+            # The whole subset is leaving or gone: any member will do.
+            members = self._usable(self._members.of_service(call.service))
         for member in members:
             member.owner.freshen(member.estimate)
         return members
 
+    def _subset(self, service):
+        version, subset = self._subsets.get(service, (None, None))
+        if version != self._members.version:
+            subset = subset_of(self._members.of_service(service), self._here)
+            self._subsets[service] = (self._members.version, subset)
+        return subset
+
+    def _usable(self, members):
+        return [m for m in members if not m.leaving]
+
     def _free(self, call, state, tried):
         """Return the untried members that may run a call about now.
 
