--- a/caperstack/bench/demo.py
+++ b/caperstack/bench/demo.py
@@ -6,6 +6,7 @@
 import sys
 
 from caperstack.bench.examples import example_fleet, example_mix
+from caperstack.clock import wall_microseconds
 from caperstack.events.timeline import fetch_events, merged, text_lines
 from caperstack.load.generator import run_calls
 from caperstack.load.ledger import judge, merged_ledger
@@ -16,6 +17,7 @@
 
 BACKEND = {"mean_ms": 20.0, "sigma": 1.0}
 FIRST_LINES = 25
+KEEPER_SECONDS = 3.0
 
 
 def _parser():
@@ -41,10 +43,10 @@
     return await fleet.nodes[leaving].ended()
 
 
-async def _show_timeline(fleet):
+async def _show_timeline(fleet, since):
     addresses = [node["operator_address"] for node in fleet.settings.values()]
-    events = merged(await fetch_events(addresses))
-    print(f"\nTime line, the first {FIRST_LINES} of {len(events)} events:")
+    events = merged(await fetch_events(addresses, f"?after={since}"))
+    print(f"\nTime line, the first {FIRST_LINES} of {len(events)} events since calls began:")
     for line in text_lines(events[:FIRST_LINES]):
         print(line)
 
@@ -54,6 +56,7 @@
     targets = [fleet.caller_address(host) for host in hosts[1:]]
     classes = parse_mix(example_mix(options.example))
     plan = plan_calls(classes, targets, options.rate, options.seconds, seed=1)
+    since = wall_microseconds()
     trouble = asyncio.create_task(_trouble(fleet, options.seconds))
     results = await run_calls(plan)
     status = await trouble
@@ -61,7 +64,7 @@
     judgement = judge(results, merged_ledger(await fleet.ledgers()))
     print(table_of(figures))
     print(f"\nPromises: {judgement}; the drained node ended with status {status}")
-    await _show_timeline(fleet)
+    await _show_timeline(fleet, since)
     answered = figures["all"].outcomes["answered"]
     truthful = judgement.clean and not figures["all"].outcomes["no answer"]
     return truthful and status == 0 and answered > 0
@@ -83,6 +86,9 @@
 async def _run(options):
     async with example_fleet(options.example, backend=BACKEND) as fleet:
         await fleet.settled()
+        # Keepers vouch for keys that were made after their start, and the
+        # clocks of callers and hosts may differ.
+        await asyncio.sleep(KEEPER_SECONDS)
         if options.serve:
             await _serve(fleet, options.example)
         good = await _drive(fleet, options)
--- a/caperstack/bench/fleet.py
+++ b/caperstack/bench/fleet.py
@@ -187,9 +187,9 @@
             self._start_standin("hosts", address, ["hosts", "--hosts", path])
         for node in self.settings.values():
             if self._with_configuration:
-                node["configuration"] = self.platform["configuration"][0]
+                node.setdefault("configuration", self.platform["configuration"][0])
             if self._with_hosts:
-                node["host_list"] = self.platform["hosts"][0]
+                node.setdefault("host_list", self.platform["hosts"][0])
         for address, process in self.platform.values():
             await _listening(process, address)
 
--- a/caperstack/membership/hostlist.py
+++ b/caperstack/membership/hostlist.py
@@ -84,27 +84,32 @@
         self._tag = ""
 
     async def start(self, kernel):
-        """Start reading."""
+        """Read once, so that the first call finds its members, and go on reading."""
         self._members = kernel.find("members")
         self._events = kernel.find("events")
         self._metrics = kernel.find("metrics")
-        if self._address is not None:
-            self._task = asyncio.create_task(self._read_for_ever())
+        if self._address is None:
+            return
+        client = AsyncHTTPClient()
+        await self._try_to_read(client)
+        self._task = asyncio.create_task(self._read_for_ever(client))
 
     async def stop(self):
         """Stop reading."""
         if self._task is not None:
             self._task.cancel()
 
-    async def _read_for_ever(self):
-        client = AsyncHTTPClient()
+    async def _read_for_ever(self, client):
         while True:
-            try:
-                await self._read(client)
-            except PlatformError as error:
-                self._note(False, str(error))
             pace = max(READ_SECONDS, len(self._members.all()) / FLEET_READS_PER_SECOND)
             await asyncio.sleep(pace * random.uniform(0.8, 1.2))
+            await self._try_to_read(client)
+
+    async def _try_to_read(self, client):
+        try:
+            await self._read(client)
+        except PlatformError as error:
+            self._note(False, str(error))
 
     async def _read(self, client):
         self._metrics.count("host_list_reads")
--- a/caperstack/settings/sync.py
+++ b/caperstack/settings/sync.py
@@ -1,6 +1,7 @@
 """Settings from peer to peer: revisions pushed, digests compared, bodies on difference."""
 
 import asyncio
+import contextlib
 import itertools
 import json
 import random
@@ -25,6 +26,9 @@
 #: A body larger than this is refused; the platform holds values up to a megabyte.
 MAX_BODY = 2 * 1024 * 1024
 
+#: How long a starting node waits for a neighbour to agree with, in seconds.
+FIRST_CONTACT_SECONDS = 2.0
+
 #: Silence of all peers after which a node no longer counts on them.
 SILENT_SECONDS = 12.0
 
@@ -40,6 +44,11 @@
 
     Notes
     -----
+    Failure: a node restarts while the platform serves an old revision.  It has
+    no memory, takes the old one, and callers see a change undone.  So a node
+    begins to serve when it agrees with a neighbour, or when none can be
+    reached within a second or two.
+
     News travels both ways on every settings connection, whoever dialled it,
     so a change that one node alone has seen reaches all that are connected.
     """
@@ -51,6 +60,8 @@
         self._heard_until = 0.0
         self._tasks = set()
         self._task = None
+        self._wanted = set()
+        self._agrees = asyncio.Event()
 
     @property
     def silent(self):
@@ -68,6 +79,9 @@
         kernel.find("peer port").hook(self)
         self._store.listen(self._on_change)
         self._task = asyncio.create_task(self._care())
+        if self._topology.parents:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._agrees.wait(), FIRST_CONTACT_SECONDS)
 
     async def stop(self):
         """Stop looking after parents."""
@@ -129,16 +143,21 @@
     def _(self, message: Digest, body, host, connection):
         self._hear()
         revisions = self._store.revisions
-        if message.value != digest_of(revisions):
-            self._metrics.count("settings_differences")
-            self._send(connection, Revisions(revisions, True), host)
+        if message.value == digest_of(revisions):
+            self._agrees.set()
+            return
+        self._metrics.count("settings_differences")
+        self._send(connection, Revisions(revisions, True), host)
 
     @_handle.register
     def _(self, message: Revisions, body, host, connection):
         self._hear()
         wanted = [p for p, r in message.revisions.items() if self._store.wants(p, r)]
+        self._wanted.update(wanted)
         if wanted:
             self._send(connection, Fetch(wanted), host)
+        else:
+            self._agrees.set()
         if message.full:
             mine = self._store.revisions
             higher = {p: r for p, r in mine.items() if r > message.revisions.get(p, -1)}
@@ -160,6 +179,9 @@
             return
         document = None if message.deleted else json.loads(body)
         self._store.take(message.path, message.revision, document, host)
+        self._wanted.discard(message.path)
+        if not self._wanted:
+            self._agrees.set()
 
     async def _send_body(self, held, connection, host):
         body = b"" if held.document is None else json.dumps(held.document).encode()
--- a/caperstack/standin/configuration.py
+++ b/caperstack/standin/configuration.py
@@ -94,6 +94,7 @@
         self._revision = 0
         self._changed = asyncio.Event()
         self._frozen = False
+        self._previous = {}
         self._server = None
         self.visible = {}
         self.calls = 0
@@ -130,13 +131,13 @@
         return self._revision
 
     def freeze(self, frozen):
-        """Serve what is visible now, whatever changes, as a stale replica does."""
+        """Serve what was visible before the last change, as a stale replica does."""
         self._frozen = frozen
-        if not frozen:
-            self.visible = dict(self._entries)
+        self.visible = self._previous if frozen else dict(self._entries)
 
     def _show(self, path, entry):
         if not self._frozen:
+            self._previous = dict(self.visible)
             self.visible[path] = entry
             self.wake()
 
