--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,9 @@
 RUN = $(VENV)/bin/python
 READY = $(VENV)/.ready
 
-.PHONY: demo serve test check format clean bench-hop bench-routing torture
+BENCHES = hop idle overload routing settings slopes transports
+
+.PHONY: demo serve test check format clean torture $(BENCHES:%=bench-%)
 
 TORTURE ?= --seconds 200 --seeds 1 2 3
 
@@ -24,11 +26,8 @@
 	$(VENV)/bin/black --quiet caperstack
 	$(VENV)/bin/ruff check --fix caperstack
 
-bench-routing: $(READY)
-	$(RUN) -m caperstack.bench.routing
-
-bench-hop: $(READY)
-	$(RUN) -m caperstack.bench.hop
+$(BENCHES:%=bench-%): bench-%: $(READY)
+	$(RUN) -m caperstack.bench.$* $(BENCH)
 
 torture: $(READY)
 	$(RUN) -m caperstack.bench.torture $(TORTURE)
--- /dev/null
+++ b/caperstack/admission/tests/test_owner.py
@@ -0,0 +1,186 @@
+"""The owner's decision, with a backend server that is told when to answer."""
+
+import asyncio
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+from caperstack.admission.owner import Owner
+from caperstack.calls.model import Answered, Call, NotRun, ServerState, Unknown
+from caperstack.clock import deadline_after
+from caperstack.exception import BackendError
+
+GOOD = Answered(200, "OK", [], b"")
+
+
+class FakeClient:
+    """Holds each call until it is told to answer."""
+
+    def __init__(self):
+        self.running = {}
+        self.started = []
+
+    async def fetch(self, call):
+        future = self.running[call.id] = asyncio.get_running_loop().create_future()
+        self.started.append(call.id)
+        try:
+            return await future
+        finally:
+            del self.running[call.id]
+
+    def answer(self, number, outcome=GOOD):
+        if isinstance(outcome, Exception):
+            self.running[number].set_exception(outcome)
+        else:
+            self.running[number].set_result(outcome)
+
+
+class TestOwner(unittest.IsolatedAsyncioTestCase):
+    """`Owner` with two slots."""
+
+    async def asyncSetUp(self):
+        self.client = FakeClient()
+        self.owner = Owner(SimpleNamespace(slots=2), self.client)
+        self.paused = False
+        recorder = mock.Mock()
+        services = {
+            "metrics": recorder,
+            "events": recorder,
+            "pauses": SimpleNamespace(suspect=lambda: self.paused),
+        }
+        await self.owner.start(SimpleNamespace(find=services.__getitem__))
+
+    def begin(self, number, seconds=5.0, criticality=1, patience=5.0):
+        call = Call(number, "n", "r", "s", "POST", "/", [], b"", deadline_after(seconds), False)
+        call.criticality = criticality
+        call.queue_until = deadline_after(patience)
+        return asyncio.create_task(self.owner.run(call))
+
+    async def turn(self):
+        for _ in range(5):
+            await asyncio.sleep(0)
+
+    async def test_slots_bound_what_runs_and_the_critical_goes_first(self):
+        tasks = [self.begin(1), self.begin(2), self.begin(3, criticality=0), self.begin(4)]
+        booking = self.begin(5, criticality=2)
+        await self.turn()
+        self.assertEqual(self.client.started, [1, 2])
+        for number in (1, 2):
+            self.client.answer(number)
+        await self.turn()
+        self.assertEqual(self.client.started, [1, 2, 5, 4])
+        for number in (5, 4):
+            self.client.answer(number)
+        await self.turn()
+        self.client.answer(3)
+        self.assertEqual(await asyncio.gather(*tasks, booking), [GOOD] * 5)
+        self.assertTrue(self.owner.idle)
+
+    async def test_wait_beyond_patience_is_refused_at_once(self):
+        running = [self.begin(1), self.begin(2)]
+        await self.turn()
+        outcome = await self.begin(3, patience=0.001)
+        self.assertIsInstance(outcome, NotRun)
+        self.assertEqual(self.client.started, [1, 2])
+        for task in running:
+            task.cancel()
+
+    async def test_cancelled_wait_gives_its_slot_on(self):
+        self.begin(1)
+        self.begin(2)
+        third, fourth = self.begin(3), self.begin(4)
+        await self.turn()
+        self.client.answer(1)
+        third.cancel()
+        await self.turn()
+        self.assertIn(4, self.client.started)
+        self.client.answer(2)
+        self.client.answer(4)
+        self.assertEqual(await fourth, GOOD)
+        self.assertTrue(self.owner.idle)
+
+    async def test_revocation_comes_before_the_call(self):
+        # The entry lost its connection and asks over a new one; the call still
+        # lies in the old one's buffer and is read later.  It must not run then.
+        self.assertIsInstance(await self.owner.revoke("n", 7), NotRun)
+        self.assertIsInstance(await self.begin(7), NotRun)
+        self.assertEqual(self.client.started, [])
+
+    async def test_revocation_of_a_waiting_call(self):
+        tasks = [self.begin(n) for n in (1, 2, 3)]
+        await self.turn()
+        self.assertIsInstance(await self.owner.revoke("n", 3), NotRun)
+        self.client.answer(1)
+        await self.turn()
+        self.assertNotIn(3, self.client.started)
+        for task in tasks:
+            task.cancel()
+
+    async def test_revocation_of_a_running_call_waits_for_its_answer(self):
+        self.begin(1)
+        await self.turn()
+        asked = asyncio.create_task(self.owner.revoke("n", 1))
+        await self.turn()
+        self.client.answer(1)
+        self.assertEqual(await asked, GOOD)
+        self.assertEqual(await self.owner.revoke("n", 1), GOOD)
+
+    async def test_same_number_of_another_entry_is_another_call(self):
+        self.assertIsInstance(await self.owner.revoke("other", 1), NotRun)
+        task = self.begin(1)
+        await self.turn()
+        self.client.answer(1)
+        self.assertEqual(await task, GOOD)
+
+    async def test_late_or_held_calls_are_not_dispatched(self):
+        self.assertIsInstance(await self.begin(1, seconds=-0.1), NotRun)
+        self.paused = True
+        self.assertIsInstance(await self.begin(2), NotRun)
+        self.assertEqual(self.client.started, [])
+
+    async def test_failures_of_the_backend_server(self):
+        for number, (error, kind) in enumerate(
+            (
+                (BackendError("refused", sent=False), NotRun),
+                (BackendError("died", sent=True), Unknown),
+                (RuntimeError("a fault of ours"), Unknown),
+            )
+        ):
+            task = self.begin(number)
+            await self.turn()
+            self.client.answer(number, error)
+            self.assertIsInstance(await task, kind)
+        self.assertTrue(self.owner.idle)
+
+    async def test_stopping_refuses_what_waits_and_finishes_what_runs(self):
+        tasks = [self.begin(n) for n in (1, 2, 3)]
+        await self.turn()
+        self.owner.leave()
+        self.assertEqual(self.owner.state, ServerState.STOPPING)
+        self.assertIsInstance(await tasks[2], NotRun)
+        self.client.answer(1)
+        self.client.answer(2)
+        self.assertEqual([await t for t in tasks[:2]], [GOOD, GOOD])
+
+    async def test_failing_server_refuses_calls_that_can_go_elsewhere(self):
+        for number in range(10):
+            await self.quick(number)
+        refused = [await self.quick(n) for n in range(30, 34)]
+        self.assertTrue(all(isinstance(outcome, NotRun) for outcome in refused[1:]))
+        last = self.begin_last(40)
+        await self.turn()
+        self.client.answer(40)
+        self.assertEqual(await last, GOOD)
+
+    async def quick(self, number):
+        task = self.begin(number)
+        await self.turn()
+        if number in self.client.running:
+            self.client.answer(number, Answered(500, "", [], b""))
+        return await task
+
+    def begin_last(self, number):
+        call = Call(number, "n", "r", "s", "POST", "/", [], b"", deadline_after(5), False)
+        call.queue_until = call.deadline
+        call.last = True
+        return asyncio.create_task(self.owner.run(call))
--- a/caperstack/bench/fleet.py
+++ b/caperstack/bench/fleet.py
@@ -105,6 +105,28 @@
             await asyncio.sleep(POLL_SECONDS)
         return self._popen.returncode
 
+    def kill(self):
+        """End it at once."""
+        self.signal(signal.SIGKILL)
+        if self.running:
+            self._popen.wait()
+
+    async def listening(self, address):
+        """Wait until it accepts connections at `address`."""
+        ip, port = split_address(address)
+        limit = deadline_after(READY_SECONDS)
+        while now() < limit:
+            if not self.running:
+                raise CaperstackError(f"ended: {self.output[-2000:]}", step="start", peer=self.name)
+            try:
+                _, writer = await asyncio.open_connection(ip, port)
+            except OSError:
+                await asyncio.sleep(POLL_SECONDS)
+                continue
+            writer.close()
+            return
+        raise CaperstackError("does not listen", step="start", peer=self.name)
+
     def cpu_seconds(self):
         """Return the processor time used so far, in seconds."""
         fields = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
@@ -191,7 +213,7 @@
             if self._with_hosts:
                 node.setdefault("host_list", self.platform["hosts"][0])
         for address, process in self.platform.values():
-            await _listening(process, address)
+            await process.listening(address)
 
     def _start_standin(self, name, address, arguments):
         port = address.rpartition(":")[2]
@@ -253,8 +275,8 @@
     async def ready(self, host):
         """Wait until the node and the backend server of `host` listen."""
         node = self.settings[host]
-        await _listening(self.backends[host], node["backend"]["address"])
-        await _listening(self.nodes[host], node["operator_address"])
+        await self.backends[host].listening(node["backend"]["address"])
+        await self.nodes[host].listening(node["operator_address"])
 
     def _process(self, name, arguments):
         return Process(name, arguments, self._directory.name)
@@ -337,25 +359,5 @@
         """End every process that was started here."""
         platform = [process for _, process in self.platform.values()]
         for process in (*self.nodes.values(), *self.backends.values(), *platform):
-            process.signal(signal.SIGKILL)
-            if process.running:
-                process._popen.wait()
+            process.kill()
         self._directory.cleanup()
-
-
-async def _listening(process, address):
-    ip, port = split_address(address)
-    limit = deadline_after(READY_SECONDS)
-    while now() < limit:
-        if not process.running:
-            raise CaperstackError(
-                f"ended: {process.output[-2000:]}", step="start", peer=process.name
-            )
-        try:
-            _, writer = await asyncio.open_connection(ip, port)
-        except OSError:
-            await asyncio.sleep(POLL_SECONDS)
-            continue
-        writer.close()
-        return
-    raise CaperstackError("does not listen", step="start", peer=process.name)
--- a/caperstack/peers/port.py
+++ b/caperstack/peers/port.py
@@ -7,7 +7,7 @@
 from caperstack.clock import now
 from caperstack.config.start import split_address
 from caperstack.exception import CaperstackError, PeerError
-from caperstack.peers.connection import CHUNK_BYTES, PeerConnection
+from caperstack.peers.connection import CHUNK_BYTES, HANDSHAKE_SECONDS, PeerConnection
 from caperstack.peers.links import BUFFER_BYTES, hello_of
 from caperstack.peers.messages import (
     CallMessage,
@@ -19,6 +19,7 @@
     Settle,
     State,
 )
+from caperstack.peers.security import RELOAD_SECONDS
 from caperstack.peers.translate import call_from, load_report, reply_to
 
 __all__ = ["PeerPort"]
@@ -50,6 +51,8 @@
         self._strangers = 0
         self._pushed = None
         self._pusher = None
+        self._keys_watcher = None
+        self._context = None
         self._hooks = []
 
     @property
@@ -69,19 +72,44 @@
         self._owner = kernel.find("owner")
         self._keeper = kernel.find("keeper")
         self._links = kernel.find("links")
-        ip, port = split_address(self._here.peer_address)
-        self._server = await asyncio.start_server(
-            self._accept, ip, port, limit=BUFFER_BYTES, ssl=self._security.server_context()
-        )
+        await self._listen(self._security.server_context())
         self._pusher = asyncio.create_task(self._push_for_ever())
+        self._keys_watcher = asyncio.create_task(self._watch_keys())
 
     async def stop(self):
         """Close the port and all connections."""
         self._pusher.cancel()
+        self._keys_watcher.cancel()
         self._server.close()
         for connection in list(self._connections):
             connection.close()
 
+    async def _listen(self, context):
+        self._context = context
+        ip, port = split_address(self._here.peer_address)
+        # A stranger that begins no TLS would otherwise hold its connection
+        # for a minute.
+        limit = HANDSHAKE_SECONDS if context is not None else None
+        self._server = await asyncio.start_server(
+            self._accept,
+            ip,
+            port,
+            limit=BUFFER_BYTES,
+            ssl=context,
+            ssl_handshake_timeout=limit,
+        )
+
+    async def _watch_keys(self):
+        # Connections that are open keep the keys they began with; new ones
+        # must meet the new authority.
+        while True:
+            await asyncio.sleep(RELOAD_SECONDS)
+            context = self._security.server_context()
+            if context is not self._context:
+                self._server.close()
+                await self._listen(context)
+                self._events.state("peer keys", "older", "new ones in force")
+
     def hook(self, hook):
         """Let `hook` hear of connections: ``opened``, ``closed`` and ``take``."""
         self._hooks.append(hook)
--- a/caperstack/peers/security.py
+++ b/caperstack/peers/security.py
@@ -35,6 +35,13 @@
         os.close(descriptor)
 
 
+def _text_of(source):
+    if _PEM_MARK in source:
+        return source
+    with open(source, encoding="utf-8") as file:
+        return file.read()
+
+
 class PeerSecurity:
     """The TLS contexts of the peer port, or none where plain was asked for.
 
@@ -47,6 +54,7 @@
     def __init__(self, settings):
         self._settings = settings
         self._contexts = {}
+        self._loaded = {}
         self._fresh_until = {}
 
     async def start(self, kernel):
@@ -73,7 +81,10 @@
             return self._contexts[protocol]
         self._fresh_until[protocol] = deadline_after(RELOAD_SECONDS)
         try:
-            self._contexts[protocol] = self._load(protocol)
+            sources = self._sources()
+            if sources != self._loaded.get(protocol):
+                self._contexts[protocol] = self._load(protocol)
+                self._loaded[protocol] = sources
         except (OSError, ssl.SSLError) as error:
             if protocol not in self._contexts:
                 raise ConfigurationError(
@@ -83,6 +94,14 @@
             self._events.state("peer keys", "in force", f"kept, new ones unreadable: {error}")
         return self._contexts[protocol]
 
+    def _sources(self):
+        """Return the text of certificate, key and authorities."""
+        settings = self._settings
+        return tuple(
+            _text_of(source)
+            for source in (settings.certificate, settings.key, settings.authorities)
+        )
+
     def _load(self, protocol):
         context = ssl.SSLContext(protocol)
         context.minimum_version = ssl.TLSVersion.TLSv1_3
--- /dev/null
+++ b/caperstack/routing/tests/test_dispatch.py
@@ -0,0 +1,208 @@
+"""The dispatcher with owners that are told how calls end."""
+
+import asyncio
+import random
+import unittest
+from types import SimpleNamespace
+
+from caperstack.calls.model import Answered, Call, Load, NotRun, ServerState, Unknown
+from caperstack.clock import deadline_after
+from caperstack.exception import PeerError
+from caperstack.membership.members import Member
+from caperstack.routing.budgets import CallBudget, share_at_depth
+from caperstack.routing.dispatch import Dispatcher
+from caperstack.settings.compile import EffectiveService
+
+GOOD = Answered(200, "OK", [], b"whole")
+BAD = Answered(500, "Error", [], b"")
+
+
+class FakeOwner:
+    """Ends the n-th call with the n-th outcome; the last one repeats."""
+
+    def __init__(self, *outcomes, resolved=None):
+        self._outcomes = list(outcomes)
+        self._resolved = resolved
+        self.calls = []
+        self.cancelled = 0
+        self.usable = True
+
+    async def run(self, call):
+        self.calls.append(call)
+        outcome = self._outcomes.pop(0) if len(self._outcomes) > 1 else self._outcomes[0]
+        if isinstance(outcome, Exception):
+            raise outcome
+        if callable(outcome):
+            try:
+                return await outcome()
+            except asyncio.CancelledError:
+                self.cancelled += 1
+                raise
+        return outcome
+
+    async def resolve(self, call):
+        return self._resolved
+
+    def freshen(self, estimate):
+        pass
+
+
+class World:
+    """A dispatcher among members whose owners are fakes."""
+
+    def __init__(self, *owners, **settings):
+        here = SimpleNamespace(host="me", zone="a", region="r")
+        self.members = []
+        for number, owner in enumerate(owners):
+            member = Member(f"h{number}", "a", "r", "s", "", incarnation=1)
+            member.owner = owner
+            # Without chance: the first member is the quickest, the last the slowest.
+            member.estimate.take_load(Load(limit=20, service_us=10_000 * 2**number))
+            self.members.append(member)
+        self.counts = {}
+        services = {
+            "members": SimpleNamespace(of_service=lambda name: self.members, version=1),
+            "settings": SimpleNamespace(service=lambda name: EffectiveService(**settings)),
+            "metrics": self,
+            "events": SimpleNamespace(state=lambda *_, **__: None),
+        }
+        self.dispatcher = Dispatcher(here, random.Random(1))
+        asyncio.run(self.dispatcher.start(SimpleNamespace(find=services.__getitem__)))
+
+    def count(self, name, **_):
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+    def dispatch(self, idempotent=False, seconds=5.0):
+        call = Call(0, "me", "r", "s", "POST", "/", [], b"", deadline_after(seconds), idempotent)
+        return asyncio.run(self.dispatcher.dispatch(call))
+
+
+def lost(sent=True):
+    """Return the error of a connection that broke."""
+    return PeerError("connection lost", sent=sent)
+
+
+async def hangs():
+    """An owner that never answers."""
+    await asyncio.sleep(3600)
+
+
+class TestBooking(unittest.TestCase):
+    """Non-idempotent calls move on proof alone."""
+
+    def test_refusal_moves_it(self):
+        first, second = FakeOwner(NotRun("full")), FakeOwner(GOOD)
+        self.assertEqual(World(first, second).dispatch(), GOOD)
+        self.assertEqual((len(first.calls), len(second.calls)), (1, 1))
+
+    def test_unknown_ends_it(self):
+        first, second = FakeOwner(Unknown("backend server died")), FakeOwner(GOOD)
+        self.assertIsInstance(World(first, second).dispatch(), Unknown)
+        self.assertEqual(second.calls, [])
+
+    def test_server_error_is_its_answer(self):
+        first, second = FakeOwner(BAD), FakeOwner(GOOD)
+        self.assertEqual(World(first, second).dispatch(), BAD)
+        self.assertEqual(second.calls, [])
+
+    def test_unsent_moves_it(self):
+        first, second = FakeOwner(lost(sent=False)), FakeOwner(GOOD)
+        self.assertEqual(World(first, second).dispatch(), GOOD)
+
+    def test_lost_connection_is_resolved(self):
+        # The connection to the owner breaks with a sweep in flight.  Revoked
+        # before dispatch it goes elsewhere; run, its answer is the answer;
+        # unknown, it ends there.
+        for resolved, outcome, moved in (
+            (NotRun("revoked"), GOOD, 1),
+            (Answered(201, "", [], b""), Answered(201, "", [], b""), 0),
+            (Unknown("owner is gone"), Unknown("owner is gone"), 0),
+        ):
+            first, second = FakeOwner(lost(), resolved=resolved), FakeOwner(GOOD)
+            self.assertEqual(World(first, second).dispatch(), outcome)
+            self.assertEqual(len(second.calls), moved)
+
+    def test_when_all_refuse_it_waits_at_the_best(self):
+        owners = [FakeOwner(NotRun("full"), GOOD), FakeOwner(NotRun("full"))]
+        self.assertEqual(World(*owners).dispatch(), GOOD)
+        self.assertTrue(owners[0].calls[-1].last)
+        self.assertFalse(owners[0].calls[0].last)
+
+    def test_refusals_are_bounded(self):
+        owners = [FakeOwner(NotRun("full")) for _ in range(8)]
+        self.assertIsInstance(World(*owners, refusals_per_call=2).dispatch(), NotRun)
+        self.assertEqual(sum(len(owner.calls) for owner in owners), 3)
+
+
+class TestListing(unittest.TestCase):
+    """Idempotent calls are repeated from a budget."""
+
+    def test_unknown_then_refusal_is_not_told_as_not_run(self):
+        # One attempt got lost and may have run, the next is refused.  "Not
+        # run" would be false.
+        owners = [FakeOwner(Unknown("lost")), FakeOwner(NotRun("full"))]
+        self.assertIsInstance(World(*owners, hedge_share=0.0).dispatch(True), Unknown)
+
+    def test_budget_bounds_repeats(self):
+        world = World(FakeOwner(Unknown("lost")), FakeOwner(Unknown("lost")), hedge_share=0.0)
+        for _ in range(100):
+            world.dispatch(True)
+        self.assertLessEqual(world.counts["retries"], 2 + 100 * 0.1)
+
+    def test_hedge_answers_and_the_loser_is_cancelled(self):
+        slow, quick = FakeOwner(hangs), FakeOwner(GOOD)
+        self.assertEqual(World(slow, quick, hedge_share=0.5).dispatch(True), GOOD)
+        self.assertEqual(slow.cancelled, 1)
+
+    def test_hedge_that_fails_leaves_the_first(self):
+        async def late():
+            await asyncio.sleep(0.3)
+            return GOOD
+
+        world = World(FakeOwner(late), FakeOwner(NotRun("full")), hedge_share=0.5)
+        self.assertEqual(world.dispatch(True), GOOD)
+
+
+class TestChoice(unittest.TestCase):
+    """Which members are considered."""
+
+    def test_leaving_member_gets_nothing(self):
+        first, second = FakeOwner(GOOD), FakeOwner(GOOD)
+        world = World(first, second)
+        world.members[0].leaving_incarnation = 1
+        world.dispatch()
+        self.assertEqual(first.calls, [])
+
+    def test_self_doubt_when_most_seem_dead(self):
+        # A node was cut off for a moment and holds everyone for dead.  It
+        # must try them rather than turn its own fault into an outage.
+        owners = [FakeOwner(GOOD) for _ in range(3)]
+        world = World(*owners)
+        for member in world.members:
+            member.estimate.mark_down()
+            member.owner.usable = False
+        self.assertEqual(world.dispatch(), GOOD)
+
+    def test_down_member_is_avoided(self):
+        first, second = FakeOwner(GOOD), FakeOwner(GOOD)
+        world = World(first, second)
+        world.members[0].estimate.take_load(Load(state=ServerState.DOWN))
+        world.dispatch()
+        self.assertEqual(first.calls, [])
+
+
+class TestBudget(unittest.TestCase):
+    """Budgets down a tree of calls."""
+
+    def test_seven_levels_add_less_than_a_tenth(self):
+        product = 1.0
+        for depth in range(7):
+            product *= 1 + share_at_depth(0.045, depth)
+        self.assertLess(product, 1.1)
+
+    def test_quiet_budget_is_bounded(self):
+        budget = CallBudget()
+        for _ in range(10_000):
+            budget.deposit(1.0)
+        taken = sum(budget.withdraw() for _ in range(100))
+        self.assertEqual(taken, 10)
--- a/caperstack/standin/backend.py
+++ b/caperstack/standin/backend.py
@@ -73,6 +73,12 @@
     return head + (filler * (size // len(filler) + 1))[:size]
 
 
+def _next_path(path):
+    """Return where a call of a chain goes on: from ``/l3`` to ``/l4``, else the same path."""
+    level = path.removeprefix("/l")
+    return f"/l{int(level) + 1}" if level.isdigit() else path
+
+
 class StandinBackend:
     """One stand-in backend server.
 
@@ -232,7 +238,7 @@
         return self._mean * draw * factor
 
     async def _call_deeper(self, request, deep):
-        path = request.query_arguments.get("path", [request.path.encode()])[0].decode()
+        path = _next_path(request.path)
         headers = {n: request.headers[n] for n in _PASSED_ON if n in request.headers}
         headers[LEDGER_ID] = f"{request.headers.get(LEDGER_ID, '')}/{deep}"
         left = int(request.headers.get(TIME_LEFT, "5000"))
--- a/caperstack/tests/test_faults.py
+++ b/caperstack/tests/test_faults.py
@@ -5,6 +5,8 @@
 import signal
 import unittest
 
+import trustme
+
 from caperstack.bench.client import request
 from caperstack.bench.scenario import ProxiedFleet, call, small_fleet
 from caperstack.calls.headers import OUTCOME
@@ -265,3 +267,34 @@
         self.assert_outcome(response, "answered")
         runs = sum(ledger["runs"] for ledger in (await self.fleet.ledgers()).values())
         self.assertEqual(runs, 1)
+
+
+class TestPeerKeys(FaultTestCase):
+    """A fleet whose nodes prove who they are."""
+
+    async def asyncSetUp(self):
+        authority = trustme.CA()
+        certificate = authority.issue_cert("127.0.0.1")
+        security = {
+            "mode": "tls",
+            "certificate": certificate.cert_chain_pems[0].bytes().decode(),
+            "key": certificate.private_key_pem.bytes().decode(),
+            "authorities": authority.cert_pem.bytes().decode(),
+        }
+        self.fleet = await self.enterAsyncContext(
+            small_fleet(2, remote_subtrees(), security=security)
+        )
+
+    async def test_calls_cross_and_a_stranger_gets_nothing(self):
+        for _ in range(4):
+            _, response = await call(self.fleet, "n0")
+            self.assert_outcome(response, "answered")
+        ledgers = await self.fleet.ledgers()
+        self.assertTrue(all(ledger["runs"] for ledger in ledgers.values()))
+        address = split_address(self.fleet.settings["n0"]["peer_address"])
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(b"\x00" * 64)
+        given = await asyncio.wait_for(reader.read(), 30)
+        # A TLS alert at the most, and no hello.
+        self.assertLess(len(given), 32)
+        writer.close()
