--- a/Makefile
+++ b/Makefile
@@ -19,12 +19,12 @@
 	$(RUN) -m nose2
 
 check: $(READY)
-	$(VENV)/bin/black --check --quiet caperstack
-	$(VENV)/bin/ruff check caperstack
+	$(VENV)/bin/black --check --quiet caperstack examples
+	$(VENV)/bin/ruff check caperstack examples
 
 format: $(READY)
-	$(VENV)/bin/black --quiet caperstack
-	$(VENV)/bin/ruff check --fix caperstack
+	$(VENV)/bin/black --quiet caperstack examples
+	$(VENV)/bin/ruff check --fix caperstack examples
 
 $(BENCHES:%=bench-%): bench-%: $(READY)
 	$(RUN) -m caperstack.bench.$* $(BENCH)
--- /dev/null
+++ b/examples/gallery/lateness.py
@@ -0,0 +1,10 @@
+"""How a late message shows, though the two clocks have nothing to do with each other."""
+
+from caperstack.clock import TransitClock
+
+SENDER_AHEAD = 12_345.0
+
+clock = TransitClock()
+for sent, travel in ((0.0, 0.0005), (1.0, 0.0004), (2.0, 5.0), (3.0, 0.0005)):
+    late = clock.lateness(sent + SENDER_AHEAD, sent + travel)
+    print(f"sent at {sent:.0f} s, {travel * 1000:6.1f} ms on the way: {late * 1000:6.1f} ms late")
