--- a/caperstack/routing/dispatch.py
+++ b/caperstack/routing/dispatch.py
@@ -122,7 +122,7 @@
             member = self._choose(call, state, self._free(call, state, tried)) if asks else None
             last = member is None
             if last and queues:
-                member = self._choose(call, state, self._open(call))
+                member = self._choose(call, state, self._accepting(call))
             if member is None:
                 return best
             tried.append(member)
@@ -189,7 +189,7 @@
 
     # -- choice -----------------------------------------------------------
 
-    def _open(self, call):
+    def _accepting(self, call):
         """Return the members of this entry's subset that may get new work."""
         members = self._usable(self._subset(call.service))
         if not members:
@@ -222,7 +222,7 @@
         patience = PATIENCE * state.usual_seconds
         return [
             member
-            for member in self._open(call)
+            for member in self._accepting(call)
             if member not in tried
             and member.estimate.expected_wait(state.usual_seconds) <= patience
         ]
