The choice takes small differences of service times for chance

The owners' averages of ten heavy-tailed times differ by half; all entries ran to the server that looked quickest. Change: a service time counts from 2.5 usual ones on.

--- a/caperstack/routing/estimates.py
+++ b/caperstack/routing/estimates.py
@@ -13,6 +13,9 @@
 #: How much a full server without a queue counts worse than an empty one.
 EMPTIER = 0.2
 
+#: A service time counts as slowed from this many usual ones on; less is chance.
+SLOWED = 2.5
+
 #: Own calls that may be out to a server of which nothing is known lately.
 EXPLORERS = 2
 
@@ -102,8 +105,14 @@
         return self._service_seconds(usual) * max(0.0, self._crowding() - 1.0)
 
     def _service_seconds(self, usual):
+        # Failure: with heavy-tailed service times the averages of equal servers
+        # differ by half from moment to moment; all entries ran to the one that
+        # looked quickest and queued there while the others had free slots.
+        told = self._load.service_us / 1e6
+        if told < SLOWED * usual:
+            return usual
         trust = self._trust(SERVICE_SECONDS)
-        return trust * self._load.service_us / 1e6 + (1 - trust) * usual
+        return trust * told + (1 - trust) * usual
 
     def _crowding(self):
         # Failure: nothing is known lately of a server that has become slow, so
