An owner speaks only for calls that were sent since it remembers everything

Both were in flight to a node that was killed and back within a second: their entry asked the new incarnation how they ended, it had never heard of them and said "not run", and they ran again elsewhere while the backend server still ran the first. Ruled out: the keepers (one of the calls had no key). The same false word came from records dropped for room. Change: a revocation tells the call's age, and an owner that began, or dropped a record, after the call was sent answers "unknown". Bench processes now die with the bench; the stand-in no longer bounds its own deeper calls at 10, which had made the overload bench measure the stand-in.

--- a/caperstack/admission/local.py
+++ b/caperstack/admission/local.py
@@ -20,7 +20,7 @@
 
     async def resolve(self, call):
         """Return how a call ended whose `run` was broken off."""
-        return await self._owner.revoke(call.origin, call.id)
+        return await self._owner.revoke(call.origin, call.id, call.sent_at)
 
     def touch(self):
         """Nothing to open."""
--- a/caperstack/admission/owner.py
+++ b/caperstack/admission/owner.py
@@ -26,6 +26,9 @@
 MEMORY_SECONDS = 60.0
 MEMORY_CALLS = 20_000
 
+#: How far two hosts' measures of one span of time may differ, in seconds.
+MEMORY_MARGIN = 0.05
+
 #: Answers up to this size are kept for an entry that lost its connection.
 KEPT_ANSWER_BYTES = 64 * 1024
 
@@ -38,6 +41,7 @@
 
 @dataclass(slots=True)
 class _Record:
+    arrived_at: float
     forget_at: float
     outcome: asyncio.Future
     dispatched: bool = False
@@ -70,6 +74,7 @@
         self._running = 0
         self._records = OrderedDict()
         self._kept_bytes = 0
+        self._remembers_since = now()
         self._pauses = None
         self._state = ServerState.WARM
         self._answering_until = 0.0
@@ -176,16 +181,33 @@
             self._settle(call, record, outcome or _broken_off("cancelled", record))
         return outcome
 
-    async def revoke(self, origin, number):
+    async def revoke(self, origin, number, sent_at):
         """Stop a call that has not been dispatched, and return how it ended.
 
+        Parameters
+        ----------
+        origin, number : str, int
+            The call's entry and number.
+        sent_at : float
+            When it was sent, on the local monotonic clock.
+
         Returns
         -------
         Outcome
             `NotRun` is proof: the call never will run here.  A call that was
             dispatched is waited for, its answer is the answer.
+
+        Notes
+        -----
+        Failure: an owner is killed with a booking running in its backend
+        server, starts again with no memory, and is asked how the booking
+        ended.  It has never heard of it, says "not run", and the booking runs
+        a second time elsewhere.  An owner speaks only for calls that were sent
+        since it remembers everything.
         """
         record = self._records.get((origin, number))
+        if record is None and sent_at <= self._remembers_since + MEMORY_MARGIN:
+            return Unknown("the owner does not remember that far back")
         if record is None:
             record = self._remember((origin, number))
             record.outcome.set_result(NotRun("revoked before it arrived", 0.0))
@@ -204,7 +226,8 @@
 
     def _remember(self, key):
         self._forget_old()
-        record = _Record(deadline_after(MEMORY_SECONDS), asyncio.get_running_loop().create_future())
+        outcome = asyncio.get_running_loop().create_future()
+        record = _Record(now(), deadline_after(MEMORY_SECONDS), outcome)
         self._records[key] = record
         return record
 
@@ -217,6 +240,7 @@
                 return
             if record.forget_at > moment and len(self._records) < MEMORY_CALLS:
                 return
+            self._remembers_since = max(self._remembers_since, record.arrived_at)
             del self._records[key]
             self._kept_bytes -= record.kept_bytes
 
--- a/caperstack/admission/tests/test_owner.py
+++ b/caperstack/admission/tests/test_owner.py
@@ -49,6 +49,7 @@
             "pauses": SimpleNamespace(suspect=lambda: self.paused),
         }
         await self.owner.start(SimpleNamespace(find=services.__getitem__))
+        self.later = deadline_after(1.0)
 
     def begin(self, number, seconds=5.0, criticality=1, patience=5.0):
         call = Call(number, "n", "r", "s", "POST", "/", [], b"", deadline_after(seconds), False)
@@ -102,14 +103,14 @@
     async def test_revocation_comes_before_the_call(self):
         # The entry lost its connection and asks over a new one; the call still
         # lies in the old one's buffer and is read later.  It must not run then.
-        self.assertIsInstance(await self.owner.revoke("n", 7), NotRun)
+        self.assertIsInstance(await self.owner.revoke("n", 7, self.later), NotRun)
         self.assertIsInstance(await self.begin(7), NotRun)
         self.assertEqual(self.client.started, [])
 
     async def test_revocation_of_a_waiting_call(self):
         tasks = [self.begin(n) for n in (1, 2, 3)]
         await self.turn()
-        self.assertIsInstance(await self.owner.revoke("n", 3), NotRun)
+        self.assertIsInstance(await self.owner.revoke("n", 3, self.later), NotRun)
         self.client.answer(1)
         await self.turn()
         self.assertNotIn(3, self.client.started)
@@ -119,14 +120,34 @@
     async def test_revocation_of_a_running_call_waits_for_its_answer(self):
         self.begin(1)
         await self.turn()
-        asked = asyncio.create_task(self.owner.revoke("n", 1))
+        asked = asyncio.create_task(self.owner.revoke("n", 1, self.later))
         await self.turn()
         self.client.answer(1)
         self.assertEqual(await asked, GOOD)
-        self.assertEqual(await self.owner.revoke("n", 1), GOOD)
+        self.assertEqual(await self.owner.revoke("n", 1, self.later), GOOD)
+
+    async def test_owner_does_not_speak_for_what_was_before_its_time(self):
+        # An owner is killed with a booking running, starts again and is asked
+        # how the booking ended.  It never heard of it, which proves nothing.
+        before = deadline_after(-1.0)
+        self.assertIsInstance(await self.owner.revoke("n", 7, before), Unknown)
+
+    async def test_owner_does_not_speak_for_what_it_forgot(self):
+        # A booking ran, its answer was lost, and the record was dropped to
+        # make room before the entry could ask.
+        with mock.patch("caperstack.admission.owner.MEMORY_CALLS", 3):
+            sent = deadline_after(0.06)
+            await asyncio.sleep(0.1)
+            for number in range(1, 8):
+                task = self.begin(number)
+                await self.turn()
+                self.client.answer(number)
+                await task
+            self.assertIsInstance(await self.owner.revoke("n", 1, sent), Unknown)
+            self.assertEqual(await self.owner.revoke("n", 7, sent), GOOD)
 
     async def test_same_number_of_another_entry_is_another_call(self):
-        self.assertIsInstance(await self.owner.revoke("other", 1), NotRun)
+        self.assertIsInstance(await self.owner.revoke("other", 1, self.later), NotRun)
         task = self.begin(1)
         await self.turn()
         self.client.answer(1)
@@ -194,7 +215,7 @@
             await self.turn()
             self.client.answer(number, Answered(200, "OK", [], body))
             await task
-        kept = [await self.owner.revoke("n", number) for number in range(400)]
+        kept = [await self.owner.revoke("n", number, self.later) for number in range(400)]
         held = sum(len(o.body) for o in kept if isinstance(o, Answered))
         self.assertLessEqual(held, 16 * 1024 * 1024)
         self.assertGreater(held, 0)
--- a/caperstack/bench/fleet.py
+++ b/caperstack/bench/fleet.py
@@ -1,6 +1,7 @@
 """Start nodes and stand-ins as real processes on loopback, for demo, benches and tests."""
 
 import asyncio
+import ctypes
 import itertools
 import json
 import os
@@ -28,6 +29,9 @@
 SLICE = 500
 SLICES = 40
 
+#: From linux/prctl.h.
+PR_SET_PDEATHSIG = 1
+
 _ports = itertools.count()
 
 
@@ -60,6 +64,12 @@
     } | changes
 
 
+def _die_with_parent():
+    # A bench that is killed cannot end its processes; they would run on and
+    # spoil the figures of the next one.
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Process:
     """One process that was started here, and its output in a file."""
 
@@ -88,7 +98,10 @@
         """Start it."""
         with open(self._path, "ab") as log:
             self._popen = subprocess.Popen(
-                [sys.executable, "-m", *self._arguments], stdout=log, stderr=log
+                [sys.executable, "-m", *self._arguments],
+                stdout=log,
+                stderr=log,
+                preexec_fn=_die_with_parent,
             )
 
     def signal(self, number):
--- a/caperstack/bench/weakened.py
+++ b/caperstack/bench/weakened.py
@@ -17,7 +17,7 @@
 
 
 def _without_revocation():
-    async def revoke(self, origin, number):
+    async def revoke(self, origin, number, sent_at):
         return NotRun("revoked, so it is claimed", 0.0)
 
     Owner.revoke = revoke
--- a/caperstack/calls/model.py
+++ b/caperstack/calls/model.py
@@ -92,6 +92,8 @@
         The caller's idempotency key, or empty.
     depth : int
         How many calls lie above this one in its tree of calls.
+    sent_at : float
+        When an attempt was handed to its owner; 0 before.
     last : bool
         There is no other backend server left to try.
     notes : list of (float, str)
@@ -113,6 +115,7 @@
     depth: int = 0
     queue_until: float = 0.0
     last: bool = False
+    sent_at: float = 0.0
     notes: list = field(default_factory=list)
 
 
--- a/caperstack/peers/link.py
+++ b/caperstack/peers/link.py
@@ -135,7 +135,8 @@
         try:
             connection = await self._open(call.deadline)
             future = self._expect(call.id)
-            connection.send(Revoke(call.id, True))
+            age = int((now() - call.sent_at) * 1e6)
+            connection.send(Revoke(call.id, True, age, int(now() * 1e6)))
             async with asyncio.timeout_at(call.deadline):
                 message, body = await future
         except (PeerError, TimeoutError):
--- a/caperstack/peers/messages.py
+++ b/caperstack/peers/messages.py
@@ -113,10 +113,14 @@
     """The entry gives a call up; with ``reply`` it wants to know how it ended.
 
     Without ``reply`` the owner cancels what it can and says nothing.
+    ``age_us`` is how long ago the call was sent, ``sent_us`` the sender's
+    monotonic clock now.
     """
 
     id: int
     reply: bool
+    age_us: int = 0
+    sent_us: int = 0
 
 
 class Chunk(_Message, tag=7):
--- a/caperstack/peers/port.py
+++ b/caperstack/peers/port.py
@@ -178,7 +178,9 @@
     def _(self, message: Revoke, body, connection):
         origin = connection.hello.host
         if message.reply:
-            self._spawn(self._resolve(origin, message.id, connection))
+            lateness = connection.transit.lateness(message.sent_us / 1e6, connection.arrival)
+            sent_at = connection.arrival - lateness - message.age_us / 1e6
+            self._spawn(self._resolve(origin, message.id, sent_at, connection))
         else:
             self._owner.abandon(origin, message.id)
 
@@ -214,10 +216,10 @@
         finally:
             self._calls -= 1
 
-    async def _resolve(self, origin, number, connection):
+    async def _resolve(self, origin, number, sent_at, connection):
         self._calls += 1
         try:
-            outcome = await self._owner.revoke(origin, number)
+            outcome = await self._owner.revoke(origin, number, sent_at)
             self._metrics.count("resolved", proof=str(isinstance(outcome, NotRun)))
             await self._reply(number, outcome, connection)
         finally:
--- a/caperstack/routing/dispatch.py
+++ b/caperstack/routing/dispatch.py
@@ -154,8 +154,8 @@
         if not attempt.last:
             patience = deadline_after(PATIENCE * state.usual_seconds)
             attempt.queue_until = min(call.deadline, patience)
-        call.notes.append((now(), f"to {member.host}"))
-        begun = now()
+        begun = attempt.sent_at = now()
+        call.notes.append((begun, f"to {member.host}"))
         member.estimate.begin()
         outcome = None
         try:
--- a/caperstack/standin/backend.py
+++ b/caperstack/standin/backend.py
@@ -22,6 +22,9 @@
 
 COLD_FACTOR = 3.0
 MAX_BODY = 128 * 1024 * 1024
+
+#: Calls to other services at once; tornado's own bound is below the slots.
+MAX_DEEPER = 10_000
 _PASSED_ON = (TRACEPARENT, REQUEST_ID, DEPTH)
 
 
@@ -244,7 +247,7 @@
         left = int(request.headers.get(TIME_LEFT, "5000"))
         headers[TIME_LEFT] = str(left)
         url = f"http://{self._node}{path}?deep={deep - 1}"
-        client = AsyncHTTPClient()
+        client = AsyncHTTPClient(max_clients=MAX_DEEPER)
         try:
             await client.fetch(url, headers=headers, request_timeout=max(0.001, left / 1000))
         except (HTTPError, OSError, pycurl.error):
--- a/caperstack/tests/test_faults.py
+++ b/caperstack/tests/test_faults.py
@@ -83,6 +83,18 @@
             self.assert_outcome(response, "answered")
             self.assertEqual(await runs_of(self.fleet, name), 1)
 
+    async def test_killed_owner_proves_nothing_when_it_is_back(self):
+        # The owner's node is killed while bookings run in its backend server,
+        # and starts again before they are done.  The new node has never heard
+        # of them; "not run" from it would make them run twice.
+        tasks = await self.bookings(6)
+        self.fleet.nodes["n1"].signal(signal.SIGKILL)
+        await self.fleet.nodes["n1"].ended()
+        self.fleet.start_node("n1")
+        for name, response in await asyncio.gather(*tasks):
+            self.assertIn(response.headers[OUTCOME], ("answered", "unknown"))
+            self.assertEqual(await runs_of(self.fleet, name), 1)
+
     async def test_one_way_partition_ends_as_unknown_and_runs_once(self):
         # The call gets through to the owner and runs, its answer does not get
         # back.  The caller is told "unknown" at the deadline; it ran once.
