--- a/caperstack/bench/overload.py
+++ b/caperstack/bench/overload.py
@@ -18,8 +18,9 @@
 LEVEL_SECONDS = 0.03
 SIGMA = 0.5
 
-#: The first level holds a slot for the whole tree, so it bounds the capacity.
-CAPACITY = SERVERS * SLOTS / (LEVELS * LEVEL_SECONDS)
+#: Calls a second and seconds of the light load that shows what a tree takes.
+LIGHT_RATE = 10.0
+LIGHT_SECONDS = 6.0
 
 BEFORE, DURING, AFTER = 0.6, 2.0, 0.6
 BEFORE_SECONDS = 6.0
@@ -54,10 +55,22 @@
     return [first, second, _Phase("after", second.end, second.end + AFTER_SECONDS, AFTER)]
 
 
-def _plan(phases, targets):
+async def _capacity(targets):
+    """Return the calls a second that the first level can carry.
+
+    Notes
+    -----
+    It holds a slot for as long as the whole tree below takes, so what a tree
+    takes under light load bounds the capacity.
+    """
+    results = await run_calls(plan_calls(KINDS, targets, LIGHT_RATE, LIGHT_SECONDS, seed=9))
+    return SERVERS * SLOTS / statistics.mean(result.seconds for result in results)
+
+
+def _plan(phases, targets, capacity):
     """Yield the calls of all phases in order."""
     for number, phase in enumerate(phases):
-        rate = phase.load * CAPACITY
+        rate = phase.load * capacity
         seconds = phase.end - phase.begin
         for planned in plan_calls(KINDS, targets, rate, seconds, seed=number + 1):
             planned.due += phase.begin
@@ -118,7 +131,9 @@
         await fleet.settled()
         phases = _phases(seconds)
         targets = [fleet.caller_address(f"l0-{server}") for server in range(SERVERS)]
-        results = await run_calls(_plan(phases, targets), progress=True)
+        capacity = await _capacity(targets)
+        print(f"capacity {capacity:.0f} trees a second")
+        results = await run_calls(_plan(phases, targets, capacity), progress=True)
         return phases, results, await _level_runs(fleet)
 
 
