Dispatcher tests order their members by more than chance

Cause: since small differences of service times count as chance, the fakes' 10 and 20 ms were equal, and test_when_all_refuse_it_waits_at_the_best met either. The fakes now differ tenfold; the assertion is as it was.

--- a/caperstack/routing/tests/test_dispatch.py
+++ b/caperstack/routing/tests/test_dispatch.py
@@ -57,7 +57,7 @@
             member = Member(f"h{number}", "a", "r", "s", "", incarnation=1)
             member.owner = owner
             # Without chance: the first member is the quickest, the last the slowest.
-            member.estimate.take_load(Load(limit=20, service_us=10_000 * 2**number))
+            member.estimate.take_load(Load(limit=20, service_us=20_000 * 10**number))
             self.members.append(member)
         self.counts = {}
         services = {
