What is usual for a service is the median of what its owners tell

The entry's own call times include waiting; they grew in the slowdown until the slow server no longer stood out, and calls went on to it. Change: the lower median of the service times that the owners told.

--- a/caperstack/routing/dispatch.py
+++ b/caperstack/routing/dispatch.py
@@ -219,18 +219,19 @@
         was a full queue becomes an outage that outlasts its cause.  A refusal
         brings the owner's exact load, so the next call knows and does not ask.
         """
-        patience = PATIENCE * state.usual_seconds
+        members = self._accepting(call)
+        usual = _usual_service_seconds(members, state)
         return [
             member
-            for member in self._accepting(call)
-            if member not in tried
-            and member.estimate.expected_wait(state.usual_seconds) <= patience
+            for member in members
+            if member not in tried and member.estimate.expected_wait(usual) <= PATIENCE * usual
         ]
 
     def _choose(self, call, state, members):
         if not members:
             return None
-        context = Context(self._here.zone, self._here.region, state.usual_seconds, self._rng)
+        usual = _usual_service_seconds(members, state)
+        context = Context(self._here.zone, self._here.region, usual, self._rng)
         return choose(state.policy, self._sound(members), context)
 
     def _sound(self, members):
@@ -293,6 +294,20 @@
                 task.cancel()
 
 
+def _usual_service_seconds(members, state):
+    """Return the service time that most of `members` have, in seconds.
+
+    Notes
+    -----
+    Failure: the entry's own times of calls include their waiting.  In a
+    slowdown they grew until the slow server no longer stood out, and calls
+    went on to it.  The median of what the owners tell is that of a healthy
+    server while fewer than half are slow.
+    """
+    told = sorted(m.estimate.told_seconds for m in members if m.estimate.told_seconds is not None)
+    return told[(len(told) - 1) // 2] if told else state.usual_seconds
+
+
 def _final(outcome):
     """Return whether `outcome` is an answer that no other server would better."""
     return isinstance(outcome, Answered) and outcome.status not in REPEATABLE_STATUSES
--- a/caperstack/routing/estimates.py
+++ b/caperstack/routing/estimates.py
@@ -65,6 +65,11 @@
         """The published report, up to a second older than the owner's copy."""
         return self._published
 
+    @property
+    def told_seconds(self):
+        """The service time last told by the owner, in seconds; ``None`` before the first."""
+        return self._load.service_us / 1e6 if self._heard_at else None
+
     @property
     def ejected(self):
         """Whether the server fails so often that it should rest."""
