--- a/caperstack/bench/demo.py
+++ b/caperstack/bench/demo.py
@@ -46,7 +46,8 @@
 async def _show_timeline(fleet, since):
     addresses = [node["operator_address"] for node in fleet.settings.values()]
     events = merged(await fetch_events(addresses, f"?after={since}"))
-    print(f"\nTime line, the first {FIRST_LINES} of {len(events)} events since calls began:")
+    shown = min(FIRST_LINES, len(events))
+    print(f"\nTime line, the first {shown} of {len(events)} events since calls began:")
     for line in text_lines(events[:FIRST_LINES]):
         print(line)
 
