Remove what nothing uses, and a branch that send_whole has itself

Cause: reading the whole change. Link and peer port chose between send and send_whole by the body's length, which send_whole does itself; the message Word and Members.leaving_marks were never sent or asked; a constant and two references to the kernel were left over. Behaviour is as it was. 40 tests of peers, membership, operators, owner, path and leaving pass; format and lint are clean.

--- a/caperstack/callers/port.py
+++ b/caperstack/callers/port.py
@@ -191,7 +191,6 @@
 
     async def start(self, kernel):
         """Listen."""
-        self._kernel = kernel
         self.metrics = kernel.find("metrics")
         self._events = kernel.find("events")
         self._settings = kernel.find("settings")
--- a/caperstack/clock.py
+++ b/caperstack/clock.py
@@ -4,8 +4,6 @@
 
 __all__ = ["TransitClock", "deadline_after", "now", "time_left", "wall_microseconds"]
 
-MICROSECONDS = 1_000_000
-
 #: How long one minimum of the transit offset is trusted, in seconds.  Host
 #: clocks drift by up to 100 ppm, so a minute adds 6 ms of error at the most.
 OFFSET_WINDOW = 60.0
--- a/caperstack/membership/members.py
+++ b/caperstack/membership/members.py
@@ -185,11 +185,3 @@
         member.leaving_incarnation = incarnation
         self._events.state("leaving", False, member.leaving, host)
         return True
-
-    def leaving_marks(self):
-        """Return the leaving marks as a dict of host and incarnation."""
-        return {
-            member.host: member.leaving_incarnation
-            for member in self._hosts.values()
-            if member.leaving_incarnation > 0
-        }
--- a/caperstack/operators/metrics.py
+++ b/caperstack/operators/metrics.py
@@ -30,15 +30,13 @@
         self._labels = {"host": host}
         self._tallies = {}
         self._gauges = []
-        self._kernel = None
         self.peer_bytes_in = 0
         self.peer_bytes_out = 0
         self.gauge("peer_bytes_in", "bytes read from peers", lambda: self.peer_bytes_in)
         self.gauge("peer_bytes_out", "bytes written to peers", lambda: self.peer_bytes_out)
 
     async def start(self, kernel):
-        """Remember the kernel, for the gauges."""
-        self._kernel = kernel
+        """Nothing to start."""
 
     async def stop(self):
         """Nothing to stop."""
--- a/caperstack/peers/connection.py
+++ b/caperstack/peers/connection.py
@@ -8,7 +8,7 @@
 from caperstack.peers.frames import FrameDecoder, encode_frame
 from caperstack.peers.messages import VERSION, Chunk, Hello
 
-__all__ = ["BUFFER_BYTES", "CHUNK_BYTES", "HANDSHAKE_SECONDS", "PeerConnection"]
+__all__ = ["BUFFER_BYTES", "HANDSHAKE_SECONDS", "PeerConnection"]
 
 READ_BYTES = 256 * 1024
 
--- a/caperstack/peers/link.py
+++ b/caperstack/peers/link.py
@@ -9,7 +9,7 @@
 from caperstack.clock import deadline_after, now
 from caperstack.config.start import split_address
 from caperstack.exception import FrameError, PeerError
-from caperstack.peers.connection import BUFFER_BYTES, CHUNK_BYTES, PeerConnection
+from caperstack.peers.connection import BUFFER_BYTES, PeerConnection
 from caperstack.peers.messages import (
     Answer,
     Claimed,
@@ -108,10 +108,7 @@
         try:
             message = call_message(call, self._links.events.clock.tick())
             async with asyncio.timeout_at(call.deadline + GRACE_SECONDS):
-                if len(call.body) <= CHUNK_BYTES:
-                    connection.send(message, call.body)
-                else:
-                    await connection.send_whole(message, call.body)
+                await connection.send_whole(message, call.body)
                 message, body = await future
         except TimeoutError:
             self._send_quietly(Revoke(call.id, False))
--- a/caperstack/peers/messages.py
+++ b/caperstack/peers/messages.py
@@ -22,7 +22,6 @@
     "State",
     "SubtreeBody",
     "Unsure",
-    "Word",
 ]
 
 #: The version of the messages below; a peer that speaks another is turned away.
@@ -217,12 +216,6 @@
     deleted: bool
 
 
-class Word(_Message, tag=17):
-    """What a peer knows of hosts that are leaving: host and incarnation."""
-
-    leaving: dict[str, int]
-
-
 Message = (
     Hello
     | CallMessage
@@ -241,5 +234,4 @@
     | Digest
     | Fetch
     | SubtreeBody
-    | Word
 )
--- a/caperstack/peers/port.py
+++ b/caperstack/peers/port.py
@@ -9,7 +9,6 @@
 from caperstack.exception import PeerError
 from caperstack.peers.connection import (
     BUFFER_BYTES,
-    CHUNK_BYTES,
     HANDSHAKE_SECONDS,
     PeerConnection,
 )
@@ -229,10 +228,7 @@
         report = load_report(self._owner.load)
         message, body = reply_to(outcome, number, report, self._events.clock.tick())
         try:
-            if len(body) <= CHUNK_BYTES:
-                connection.send(message, body)
-            else:
-                await connection.send_whole(message, body)
+            await connection.send_whole(message, body)
         except (PeerError, ConnectionError):
             # The entry will ask again over a new connection: Owner remembers.
             self._metrics.count("replies_without_connection")
