A caller that leaves is noticed while its call runs or waits

Cause: tornado tells the delegate of a close only while it reads the request; afterwards the connection's own close callback is called, and nobody had set it. A call whose caller had left ran on to its deadline, or left the queue for a slot a second later. Ruled out: the way from the entry to the owner; once cancelled at the entry the call was gone from the queue within one exchange. Change: the callback is set when the head of a request is read.

--- a/caperstack/callers/port.py
+++ b/caperstack/callers/port.py
@@ -76,6 +76,7 @@
         # Tornado makes this object for an idle connection too; only from here
         # on there is a request that a drain must wait for.
         self._port.exchanges.add(self)
+        self._connection.set_close_callback(self.on_connection_close)
         self.due = deadline_after(self._port.limits.body_seconds)
         self._start = start_line
         self._headers = headers
