Calls that can be in time go first; hedges at the last useful moment; hopeless calls refused

Cause: after an outage callers who had waited too long came back before new ones and made all of them late; backend servers twice as slow after their start looked slowed for good, so work began at eight times its cost; listings whose answers were lost hung until their deadline; and calls with less time left than their work needs still took slots. Ruled out: too small a retry budget (few repeats were denied); first in, first out with a shorter queue (late calls still come first after an outage). Eight unit tests.

--- a/caperstack/admission/limit.py
+++ b/caperstack/admission/limit.py
@@ -29,6 +29,9 @@
 ROUTE_SECONDS = 5.0
 ROUTES_MOST = 500
 
+#: Answers after which a route's usual time is more than chance.
+ROUTE_ANSWERS = 5
+
 #: So many calls make the first usual time.
 FIRST_CALLS = 50
 
@@ -121,6 +124,11 @@
         average = self._routes.get(route)
         return self._usual if average is None else average.value
 
+    def route_known(self, route):
+        """Return `route_usual` if it was learnt from this route's own calls, else 0."""
+        average = self._routes.get(route)
+        return average.value if average and average.count >= ROUTE_ANSWERS else 0.0
+
     def begin(self, number, pace=1.0, route=""):
         """Note that call `number` starts now, when work takes `pace` times the usual."""
         self._started[number] = (now(), pace, route)
--- a/caperstack/admission/owner.py
+++ b/caperstack/admission/owner.py
@@ -1,14 +1,15 @@
 """The owner: the exact decision beside the backend server."""
 
 import asyncio
+import random
 from collections import OrderedDict
 from dataclasses import dataclass
 
 from caperstack.admission.limit import FailureShare, ServiceTimes, SlotLimit
+from caperstack.admission.pace import HostPace
 from caperstack.admission.queue import AdmissionQueue
 from caperstack.calls.model import (
     CLOSED_STATES,
-    SLOWED_PACE,
     VISIT_SECONDS,
     Answered,
     Load,
@@ -21,13 +22,22 @@
 
 __all__ = ["Owner"]
 
-#: How far the pace of the host must move before it is news, as a factor.
-PACE_CHANGE = 1.25
+GATEWAY_TIMEOUT = 504
 
-#: How long the owner counts on a neighbour's going, in seconds; what lasts
-#: longer is the host's new usual.  Visits were 300 ms long, and one in four
-#: followed another: one in 250 lasts longer than this.
-HOLD_SECONDS = 1.2
+#: Calls that are left less than this share of their route's usual time are
+#: refused: fewer than one in a hundred would end in time (work times spread by
+#: 0.3), and the slot is lost for others.  Callers come back with a tenth of
+#: their time left.
+SHORTEST_SHARE = 0.5
+
+#: How long a call that can no longer be in time waits for a lull, in seconds.
+#: In a lasting overload there is none; its caller is better off with a refusal
+#: now and a later try than with one when its time is over.
+LATE_WAIT_SECONDS = 0.4
+
+#: Callers who are told to come back do so spread over this share of the wait,
+#: or they would all return at the same moment.
+RETURN_SPREAD = 0.5
 
 #: Waiting calls per slot that bound the queue's memory; what limits its length
 #: in practice is whether a call can still finish in time.
@@ -83,8 +93,7 @@
         self._queue = AdmissionQueue(settings.slots * QUEUE_PER_SLOT)
         self._instance = ""
         self._service = ""
-        self._pace = 1.0
-        self._hold_until = 0.0
+        self._pace = HostPace()
         self._listeners = []
         self._failures = FailureShare()
         self._published = 0
@@ -128,11 +137,11 @@
             self._running,
             len(self._queue),
             self._limit.limit,
-            int(self._times.recent * 1e6),
+            int(self._times.recent * self._pace.usual * 1e6),
             self._state,
             self._failures.percent,
             self._published,
-            round(self._pace * 100),
+            round(self._pace.relative * 100),
         )
 
     async def start(self, kernel):
@@ -194,6 +203,7 @@
             self._events.state("instance", old=self._instance, new=f"{instance} of {service}")
             self._instance = instance
             self._service = service
+            self._pace.restart()
 
     def resize(self, slots):
         """The backend server has so many slots from now on."""
@@ -209,11 +219,7 @@
 
     def set_pace(self, pace):
         """Work on the host takes `pace` times the usual at this moment."""
-        changed = not 1 / PACE_CHANGE < pace / self._pace < PACE_CHANGE
-        if self._pace < SLOWED_PACE <= pace:
-            self._hold_until = deadline_after(HOLD_SECONDS)
-        self._pace = pace
-        if changed:
+        if self._pace.read(pace):
             for listener in self._listeners:
                 listener()
             self._start_waiting()
@@ -364,7 +370,7 @@
             running=self._running,
             limit=self._limit.limit,
             waiting=len(self._queue),
-            pace=round(self._pace, 2),
+            pace=round(self._pace.value, 2),
         )
 
     async def _admit(self, call, queued):
@@ -379,7 +385,7 @@
             return refusal
         if not call.last and not self._failures.passes():
             return NotRun("backend server fails", 0.1)
-        if not call.last and self._slowed:
+        if not call.last and self._pace.slowed:
             return NotRun("host is slowed at this moment", 0.1)
         self._limit.adjust()
         if self._running < self._limit.limit and not len(self._queue) and not self._holds(call):
@@ -387,11 +393,6 @@
             return None
         return await self._wait_for_slot(call, queued)
 
-    @property
-    def _slowed(self):
-        """Whether the host has become slow a short while ago, and may soon be quick again."""
-        return self._pace >= SLOWED_PACE and now() < self._hold_until
-
     def _holds(self, call):
         """Return whether `call` is better started once the host is quick again.
 
@@ -404,16 +405,20 @@
         Waiting costs what is left of the neighbour's visit.  Work so short
         that the wait would be longer starts at once.
         """
-        if not self._slowed:
+        if not self._pace.slowed:
             return False
-        return (self._pace - 1) * self._times.route_usual(call.route) > VISIT_SECONDS
+        return (self._pace.relative - 1) * self._takes(call) > VISIT_SECONDS
+
+    def _takes(self, call):
+        """Return how long `call` takes on this host as a rule, in seconds."""
+        return self._times.route_usual(call.route) * self._pace.usual
 
     async def _wait_for_slot(self, call, queued):
-        takes = self._times.route_usual(call.route)
+        takes = self._takes(call)
         wait = self._expected_wait(call, takes)
-        last_start = min(call.queue_until, call.deadline - takes)
+        last_start = self._last_start(call, takes)
         if now() + wait > last_start:
-            return NotRun("no slot in time", wait)
+            return NotRun("no slot in time", self._return_after(wait))
         if self._queue.full and not self._queue.evict_for(call, takes):
             return NotRun("queue is full", wait)
         waiter = self._queue.add(call, takes)
@@ -433,9 +438,18 @@
             raise
         return NotRun(reason, wait) if reason else None
 
+    def _last_start(self, call, takes):
+        """Return the point until which `call` waits for a slot."""
+        in_time_until = (call.objective_at or call.deadline) - takes
+        lull_until = max(in_time_until, now()) + LATE_WAIT_SECONDS
+        return min(call.queue_until, call.deadline - takes, lull_until)
+
+    def _return_after(self, wait):
+        return wait * random.uniform(1.0, 1.0 + RETURN_SPREAD)
+
     def _give_up(self, waiter):
         self._return_slot(waiter)
-        return NotRun("no slot in time", self._times.usual)
+        return NotRun("no slot in time", self._return_after(self._times.usual))
 
     def _return_slot(self, waiter):
         # The slot may have been given in the same turn of the loop in which
@@ -450,7 +464,7 @@
         if self._running < self._limit.limit:
             return VISIT_SECONDS
         ahead = self._queue.ahead_of(call, takes) + 1 + max(0, self._running - self._limit.limit)
-        return ahead * self._times.recent / self._limit.limit
+        return ahead * self._times.recent * self._pace.usual / self._limit.limit
 
     def _last_check(self, call):
         """Return the `NotRun` for a call that must not be dispatched any more."""
@@ -458,10 +472,13 @@
             return NotRun("node was paused", 0.05)
         if now() >= call.deadline:
             return NotRun("deadline passed before dispatch", 0.0)
+        takes = self._times.route_known(call.route) * self._pace.usual
+        if time_left(call.deadline) < SHORTEST_SHARE * takes:
+            return NotRun("too little time left to run", 0.0)
         return None
 
     async def _dispatch(self, call):
-        self._times.begin(call.id, self._pace, call.route)
+        self._times.begin(call.id, self._pace.value, call.route)
         call.notes.append((now(), "dispatched"))
         self._events.decision(
             "owner sends",
@@ -469,18 +486,21 @@
             instance=self._instance,
             running=self._running,
             limit=self._limit.limit,
-            pace=round(self._pace, 2),
+            pace=round(self._pace.value, 2),
         )
         counts = False
         try:
             answer = await self._client.fetch(call, self._instance)
             if isinstance(answer, NotRun):
                 return answer
-            counts = answer.status < 500
+            counts = answer.status < 500 or answer.status == GATEWAY_TIMEOUT
             self._answering_until = deadline_after(ANSWERING_SECONDS)
-            self._failures.add(not counts)
+            self._failures.add(answer.status >= 500)
             return answer
         except BackendError as error:
+            # Failure: a server so slow that no call ends before its deadline
+            # shows no time at all, looks as quick as ever, and draws calls.
+            counts = time_left(call.deadline) <= 0
             self._failures.add(True)
             return self._failure(call, error)
         finally:
--- /dev/null
+++ b/caperstack/admission/pace.py
@@ -0,0 +1,65 @@
+"""The pace of a host: how long work takes on it now, against what it takes lately."""
+
+from collections import deque
+
+from caperstack.calls.model import SLOWED_PACE
+from caperstack.clock import now
+
+__all__ = ["HostPace"]
+
+#: The lowest pace of so many seconds is the host's usual one.  A neighbour's
+#: visit lasts 300 ms, and one in four is followed by another: one in 250 lasts
+#: longer than this.  What lasts longer, a cold start or a slow host, is usual.
+USUAL_SECONDS = 1.2
+
+#: How far the pace must move before it is news, as a factor.
+CHANGE = 1.25
+
+
+class HostPace:
+    """The pace of a host and what is usual for it.
+
+    Notes
+    -----
+    Failure: a server that has just started is twice as slow for seconds, and a
+    neighbour makes it eight times as slow for a moment.  Measured against a
+    warm server it would look slowed all the time, and work would start at
+    eight times its cost as readily as at twice.
+    """
+
+    def __init__(self):
+        self._readings = deque()
+        self.value = 1.0
+
+    @property
+    def usual(self):
+        """The lowest pace lately."""
+        self._forget()
+        return min((pace for _, pace in self._readings), default=1.0)
+
+    @property
+    def relative(self):
+        """The pace against the usual one."""
+        return self.value / self.usual
+
+    @property
+    def slowed(self):
+        """Whether the host is slower than usual, so that it may soon be quick again."""
+        return self.relative >= SLOWED_PACE
+
+    def read(self, pace):
+        """Take a reading; return whether the pace has moved by enough to tell others."""
+        changed = not 1 / CHANGE < pace / self.value < CHANGE
+        self.value = pace
+        self._readings.append((now(), pace))
+        return changed
+
+    def restart(self):
+        """Another instance of the backend server has begun: forget the old one's pace."""
+        self._readings.clear()
+
+    def _forget(self):
+        # The last reading stays, however old: nothing later is known.
+        limit = now() - USUAL_SECONDS
+        while len(self._readings) > 1 and self._readings[0][0] < limit:
+            self._readings.popleft()
--- a/caperstack/admission/tests/test_owner.py
+++ b/caperstack/admission/tests/test_owner.py
@@ -7,7 +7,7 @@
 
 from caperstack.admission.owner import Owner
 from caperstack.calls.model import Answered, Call, NotRun, ServerState, Unknown
-from caperstack.clock import deadline_after
+from caperstack.clock import deadline_after, now
 from caperstack.exception import BackendError
 
 GOOD = Answered(200, "OK", [], b"")
@@ -212,6 +212,7 @@
         # would need four times as long to its end; it starts when the
         # neighbour has gone, and the caller has it sooner.
         await self.learn_time(0.3)
+        self.owner.set_pace(1.0)
         self.owner.set_pace(4.0)
         held = self.begin_last(50)
         await self.turn()
@@ -224,19 +225,62 @@
 
     async def test_short_work_and_a_slow_host_for_good_do_not_wait(self):
         await self.learn_time(0.01)
+        self.owner.set_pace(1.0)
         self.owner.set_pace(4.0)
         short = self.begin_last(50)
         await self.turn()
         self.client.answer(50)
         self.assertEqual(await short, GOOD)
+
+    async def test_host_that_is_slow_for_good_takes_calls(self):
         await self.learn_time(0.3)
-        with mock.patch("caperstack.admission.owner.HOLD_SECONDS", 0.0):
-            self.owner.set_pace(1.0)
+        self.owner.set_pace(1.0)
+        with mock.patch("caperstack.admission.pace.USUAL_SECONDS", 0.0):
             self.owner.set_pace(4.0)
-        lasting = self.begin_last(52)
+            lasting = self.begin_last(52)
+            await self.turn()
+            self.client.answer(52)
+            self.assertEqual(await lasting, GOOD)
+
+    async def test_call_with_too_little_time_left_is_refused_at_once(self):
+        # A listing comes back with 100 ms left; it takes 300.  Run, it would
+        # end at its deadline with nothing for its caller, and hold a slot.
+        await self.learn_time(0.3)
+        self.assertIsInstance(await self.begin(1, seconds=0.1), NotRun)
+        self.assertEqual(self.client.started, [])
+
+    async def test_calls_that_can_be_in_time_go_before_late_ones(self):
+        # After an outage callers who have waited too long come back before
+        # new ones.  In the order of arrival all would be late.
+        await self.learn_time(0.2)
+        tasks = [self.begin(1), self.begin(2)]
+        await self.turn()
+        late, fresh = self.waiting_call(3, 0.1), self.waiting_call(4, 0.6)
+        await self.turn()
+        self.client.answer(1)
         await self.turn()
-        self.client.answer(52)
-        self.assertEqual(await lasting, GOOD)
+        self.assertEqual(self.client.started, [1, 2, 4])
+        for task in (*tasks, late, fresh):
+            task.cancel()
+
+    async def test_late_call_does_not_wait_out_its_deadline(self):
+        # In a lasting overload a late call gets no slot.  It is told so soon,
+        # not when its five seconds are over.
+        with mock.patch("caperstack.admission.owner.LATE_WAIT_SECONDS", 0.05):
+            tasks = [self.begin(1), self.begin(2)]
+            await self.turn()
+            began = now()
+            self.assertIsInstance(await self.waiting_call(3, 0.0), NotRun)
+            self.assertLess(now() - began, 2.0)
+        for task in tasks:
+            task.cancel()
+
+    def waiting_call(self, number, objective_seconds):
+        call = Call(number, "n", "r", "s", "POST", "/", [], b"", deadline_after(5), False)
+        call.queue_until = call.deadline
+        call.last = True
+        call.objective_at = deadline_after(objective_seconds)
+        return asyncio.create_task(self.owner.run(call))
 
     async def learn_time(self, seconds):
         """Let calls of the route take `seconds`."""
--- /dev/null
+++ b/caperstack/admission/tests/test_pace.py
@@ -0,0 +1,47 @@
+"""The pace of a host against what is usual for it."""
+
+import unittest
+from unittest import mock
+
+from caperstack.admission.pace import HostPace
+
+
+class TestHostPace(unittest.TestCase):
+    """`HostPace` with a clock that the test moves."""
+
+    def setUp(self):
+        self.clock = 100.0
+        self.enterContext(mock.patch("caperstack.admission.pace.now", lambda: self.clock))
+        self.pace = HostPace()
+
+    def read(self, *paces):
+        for pace in paces:
+            self.clock += 0.08
+            self.changed = self.pace.read(pace)
+
+    def test_visit_of_a_neighbour_is_told_from_a_cold_start(self):
+        # A server starts and is twice as slow for seconds; a neighbour makes
+        # that eight times.  Only the neighbour's visit is worth waiting for.
+        self.read(*[2.0] * 10, 8.0)
+        self.assertTrue(self.pace.slowed)
+        self.read(2.0)
+        self.assertFalse(self.pace.slowed)
+        self.assertEqual(self.pace.usual, 2.0)
+
+    def test_what_lasts_becomes_usual(self):
+        self.read(1.0, *[4.0] * 5)
+        self.assertTrue(self.pace.slowed)
+        self.read(*[4.0] * 15)
+        self.assertFalse(self.pace.slowed)
+
+    def test_only_changes_are_news(self):
+        self.read(1.0, 1.1)
+        self.assertFalse(self.changed)
+        self.read(4.0)
+        self.assertTrue(self.changed)
+
+    def test_new_instance_starts_anew(self):
+        self.read(1.0, 1.0)
+        self.pace.restart()
+        self.read(2.0)
+        self.assertEqual(self.pace.usual, 2.0)
--- a/caperstack/callers/port.py
+++ b/caperstack/callers/port.py
@@ -13,6 +13,7 @@
 from tornado.iostream import StreamClosedError
 
 from caperstack.addresses import split_address
+from caperstack.callers.patience import Patience
 from caperstack.calls.dialect import Dialect
 from caperstack.calls.headers import (
     DEPTH,
@@ -185,6 +186,7 @@
         self._dialect = dialect or Dialect()
         self._own_headers = _own_headers(self._dialect)
         self._splitter = Splitter()
+        self._patience = Patience()
         self._server = None
         self._body_bytes = 0
         self.limits = here.limits
@@ -351,7 +353,9 @@
         route = self._settings.route(start.method, path, headers.get("Host", ""))
         if route is None:
             return None
-        seconds = self._time_left_seconds(headers, route.deadline_seconds)
+        told = self._time_left_seconds(headers)
+        seconds = min(told, route.deadline_seconds) if told else route.deadline_seconds
+        waited = self._patience.waited(route.name or route.path, told) if told else 0.0
         depth = _depth(headers)
         key = headers.get(IDEMPOTENCY_KEY, "")
         if len(key) > MAX_KEY_CHARACTERS:
@@ -375,18 +379,19 @@
             key=key,
             depth=depth,
             route=route.name or route.path,
-            objective_at=min(deadline, deadline_after(route.objective_seconds)),
+            objective_at=min(deadline, deadline_after(route.objective_seconds - waited)),
             attempts=route.attempts,
         )
 
-    def _time_left_seconds(self, headers, most):
+    def _time_left_seconds(self, headers):
+        """Return how long the caller will wait, in seconds; ``None`` if it does not say."""
         name = self._dialect.time_left
         given = headers.get(name)
         if given is None:
-            return most
+            return None
         if not given.isdigit():
             raise _BadRequestError(name, "not a whole number of milliseconds")
-        return min(int(given) / 1000, most, MAX_DEADLINE_SECONDS)
+        return min(int(given) / 1000, MAX_DEADLINE_SECONDS)
 
     def _backend_headers(self, headers, remote_ip, depth):
         kept = [pair for pair in headers.get_all() if pair[0].lower() not in self._own_headers]
--- a/caperstack/calls/model.py
+++ b/caperstack/calls/model.py
@@ -77,7 +77,8 @@
     published : int
         The calls in flight that the backend server's load endpoint last gave.
     pace : int
-        How long work takes on the host at this moment, in percent of the usual.
+        How long work takes on the host at this moment, in percent of what it
+        takes there lately.
     """
 
     in_flight: int = 0
--- a/caperstack/platform/boot.py
+++ b/caperstack/platform/boot.py
@@ -22,8 +22,9 @@
 #: longer when they are nearly full; up to four fifths of the slots they do not.
 SLOTS_SHARE = 0.8
 
-#: How much sooner than the platform's kill a stopping node ends, in seconds.
-KILL_MARGIN_SECONDS = 0.4
+#: How much sooner than the platform's kill a stopping node ends, in seconds: a
+#: slowed host needs that long to answer what is open and to stop its services.
+KILL_MARGIN_SECONDS = 0.8
 
 #: Where the counters are shown: the peer port is the first of the range.
 METRICS_OFFSET = 1
--- a/caperstack/platform/items.py
+++ b/caperstack/platform/items.py
@@ -163,9 +163,7 @@
         for route in configuration.routes:
             table.add(route)
         for name in configuration.services:
-            table.services[name] = EffectiveService(
-                measuring_per_second=MEASURING_PER_SECOND, hedge_share=0.0
-            )
+            table.services[name] = EffectiveService(measuring_per_second=MEASURING_PER_SECOND)
         return table
 
     def affects_routes(self, key):
--- a/caperstack/routing/dispatch.py
+++ b/caperstack/routing/dispatch.py
@@ -4,13 +4,13 @@
 import copy
 import random
 
-from caperstack.averages import TimedAverage
 from caperstack.calls.model import Answered, NotRun, ServerState, Unknown, call_ids
 from caperstack.clock import deadline_after, now, time_left
 from caperstack.exception import PeerError
 from caperstack.membership.subset import subset_of
 from caperstack.routing.budgets import CallBudget, share_at_depth
-from caperstack.routing.policies import Context, choose, policy_named
+from caperstack.routing.policies import Context, choose
+from caperstack.routing.service import FIRST_USUAL_SECONDS, Attempts, ServiceState
 
 __all__ = ["Dispatcher"]
 
@@ -18,18 +18,6 @@
 #: service times; the last try may wait until its deadline.
 PATIENCE = 1.0
 
-#: The usual time of a service before its first answer, in seconds.
-FIRST_USUAL_SECONDS = 0.02
-
-#: The time over which the usual time follows, in seconds, and how many times
-#: longer than usual a call may count.
-USUAL_SECONDS = 10.0
-OUTLIER = 10.0
-
-#: A hedge goes out after this many usual service times.
-HEDGE_AFTER = 4.0
-HEDGE_LEAST_SECONDS = 0.02
-
 #: Answers that an idempotent call may try to better at another server.
 REPEATABLE_STATUSES = frozenset((500, 502, 503, 504))
 
@@ -37,26 +25,6 @@
 EJECTED_MOST = 0.5
 
 
-class _ServiceState:
-    """What this entry keeps of one service: its policy, its budgets, its pace."""
-
-    def __init__(self, name, retries):
-        self.policy_name = name
-        self.policy = policy_named(name)
-        self.retries = retries
-        self.hedges = CallBudget()
-        self._usual = TimedAverage(FIRST_USUAL_SECONDS, USUAL_SECONDS)
-
-    @property
-    def usual_seconds(self):
-        """How long a call usually takes, in seconds."""
-        return self._usual.value
-
-    def take_time(self, seconds):
-        """Note how long an answered call took; a very long one counts in part."""
-        self._usual.add(min(seconds, OUTLIER * self._usual.value))
-
-
 class Dispatcher:
     """Choose owners for calls, and retry or hedge where nothing can run twice.
 
@@ -97,7 +65,7 @@
         state.hedges.deposit(share_at_depth(settings.hedge_share, call.depth))
         if call.idempotent and settings.hedge_share > 0:
             return await self._dispatch_hedged(call, state, settings)
-        return await self._try_in_turn(call, state, settings, [])
+        return await self._try_in_turn(call, state, settings, [], Attempts(call.attempts))
 
     def _retry_share(self, settings, call):
         if self._allowance is not None:
@@ -107,17 +75,18 @@
     def _state(self, service, policy):
         state = self._services.get(service)
         if state is None or state.policy_name != policy:
-            state = self._services[service] = _ServiceState(policy, self._budget())
+            state = self._services[service] = self._new_state(policy)
         return state
 
-    def _budget(self):
+    def _new_state(self, policy):
         if self._allowance is None:
-            return CallBudget()
-        return self._allowance.budget(len(self._members.all()))
+            return ServiceState(policy, CallBudget())
+        budget = self._allowance.budget(len(self._members.all()))
+        return ServiceState(policy, budget, budget)
 
     # -- one attempt after the other --------------------------------------
 
-    async def _try_in_turn(self, call, state, settings, tried, queues=True):
+    async def _try_in_turn(self, call, state, settings, tried, attempts, queues=True):
         """Try members until one answers; with `queues` wait at the best as a last resort.
 
         Notes
@@ -127,7 +96,6 @@
         of all, refused or not, and waits there until its deadline.
         """
         refusals = 0
-        sent = 0
         best = NotRun("no backend server known", 1.0)
         while time_left(call.deadline) > 0:
             asks = refusals < settings.refusals_per_call
@@ -137,17 +105,19 @@
                 member = self._choose(call, state, self._accepting(call))
             if member is None:
                 return best
+            if not attempts.take():
+                return best
             tried.append(member)
             outcome = await self._attempt(call, member, state, last)
             best = min(outcome, best, key=_preference)
             if last or _final(outcome):
                 return best
             if isinstance(outcome, NotRun) and not outcome.offered:
+                attempts.give_back()
                 refusals += 1
                 self._metrics.count("moves", service=call.service)
                 continue
-            sent += 1
-            if sent >= call.attempts or not self._may_repeat(call, state, outcome):
+            if not attempts.left or not self._may_repeat(call, state, outcome):
                 return best
         return best
 
@@ -190,7 +160,7 @@
             outcome = await self._run(attempt, member)
         finally:
             member.estimate.end()
-        self._learn(outcome, member, state, begun)
+        self._learn(call, outcome, member, state, begun)
         call.notes.append((now(), f"{member.host}: {_short(outcome)}"))
         return outcome
 
@@ -205,9 +175,9 @@
             return Unknown("connection to the owner was lost")
         return await member.owner.resolve(attempt)
 
-    def _learn(self, outcome, member, state, begun):
+    def _learn(self, call, outcome, member, state, begun):
         if isinstance(outcome, Answered):
-            state.take_time(now() - begun)
+            state.take_time(now() - begun, call.route)
         if isinstance(outcome, NotRun):
             return
         failed = isinstance(outcome, Unknown) or outcome.status >= 500
@@ -286,29 +256,35 @@
 
     async def _dispatch_hedged(self, call, state, settings):
         tried = []
-        first = asyncio.ensure_future(self._try_in_turn(call, state, settings, tried))
+        attempts = Attempts(call.attempts)
+        first = asyncio.ensure_future(self._try_in_turn(call, state, settings, tried, attempts))
         try:
-            delay = max(HEDGE_LEAST_SECONDS, HEDGE_AFTER * state.usual_seconds)
-            await asyncio.wait((first,), timeout=min(delay, max(0.0, time_left(call.deadline))))
-            if first.done() or not self._may_hedge(call, state, tried):
+            delay = min(state.hedge_delay(call), max(0.0, time_left(call.deadline)))
+            await asyncio.wait((first,), timeout=delay)
+            if first.done() or not self._may_hedge(call, state, tried, attempts):
                 return await first
-            return await self._race(call, state, settings, tried, first)
+            return await self._race(call, state, settings, (tried, attempts), first)
         finally:
             if not first.done():
                 first.cancel()
 
-    def _may_hedge(self, call, state, tried):
-        members = self._members.of_service(call.service)
-        if len(members) <= len(tried) or time_left(call.deadline) <= 0:
+    def _may_hedge(self, call, state, tried, attempts):
+        """Return whether a second server can take `call` now and the budget allows it.
+
+        Notes
+        -----
+        A hedge never queues: where no slot is free it would only add load.
+        """
+        if time_left(call.deadline) <= state.route_seconds(call.route) or not attempts.left:
             return False
-        return state.hedges.withdraw()
+        return bool(self._free(call, state, tried)) and state.hedges.withdraw()
 
-    async def _race(self, call, state, settings, tried, first):
+    async def _race(self, call, state, settings, bounds, first):
         self._metrics.count("hedges", service=call.service)
         call.notes.append((now(), "hedged"))
-        # A hedge never queues: where no slot is free it would only add load.
+        self._events.decision("entry hedges", call, usual_ms=round(state.usual_seconds * 1000))
         second = asyncio.ensure_future(
-            self._try_in_turn(call, state, settings, tried, queues=False)
+            self._try_in_turn(call, state, settings, *bounds, queues=False)
         )
         racers = {first, second}
         outcomes = []
--- a/caperstack/routing/estimates.py
+++ b/caperstack/routing/estimates.py
@@ -10,8 +10,8 @@
 LOAD_SECONDS = 0.5
 SERVICE_SECONDS = 5.0
 
-#: How long the pace of a host that was told is trusted, in seconds; longer than
-#: the silence after which a link counts as dead.
+#: How long the pace of a host that was told, against its usual one, is trusted,
+#: in seconds; longer than the silence after which a link counts as dead.
 PACE_SECONDS = 2.0
 
 #: How much a full server without a queue counts worse than an empty one.
--- a/caperstack/routing/policies.py
+++ b/caperstack/routing/policies.py
@@ -122,9 +122,9 @@
     usual = context.usual_seconds
     scores = [m.estimate.expected_seconds(usual) + _distance(m, context) for m in sample]
     bound = min(scores) * NEAR
-    return context.rng.choice(
-        [m for m, score in zip(sample, scores, strict=True) if score <= bound]
-    )
+    near = [m for m, score in zip(sample, scores, strict=True) if score <= bound]
+    # Among equals the own zone: bytes between zones are paid for.
+    return context.rng.choice([m for m in near if m.zone == context.zone] or near)
 
 
 def _distance(member, context):
