Stand-ins of the platform, tests of the whole path on them; less memory, fewer store calls

Change: a store, backend servers and hosts on loopback as the platform has them (caperstack/platform/standin), and 22 tests with real nodes. What an answer tells nodes only stays with the owner. Pages are served without tornado's web framework, a small store is read with one call, ended calls are remembered until 5 s after their deadline, and latencies are kept in histograms.

--- a/caperstack/admission/owner.py
+++ b/caperstack/admission/owner.py
@@ -43,11 +43,16 @@
 #: in practice is whether a call can still finish in time.
 QUEUE_PER_SLOT = 16
 
-#: How long and how many ended or revoked calls are remembered, so that a
-#: revocation that comes late is answered truthfully.
-MEMORY_SECONDS = 60.0
+#: For how long beyond its deadline, and how many, ended or revoked calls are
+#: remembered, so that a revocation that comes late is answered truthfully.  An
+#: entry asks until the deadline of its call and no longer.
+MEMORY_SECONDS = 5.0
 MEMORY_CALLS = 20_000
 
+#: How long a revocation is remembered whose call has not come, in seconds:
+#: longer than a message lies in the buffers of a connection.
+REVOKED_SECONDS = 30.0
+
 #: How far two hosts' measures of one span of time may differ, in seconds.
 MEMORY_MARGIN = 0.05
 
@@ -251,7 +256,7 @@
         record = self._records.get((call.origin, call.id))
         if record is not None:
             return NotRun("revoked before it arrived", 0.0)
-        record = self._remember((call.origin, call.id))
+        record = self._remember((call.origin, call.id), call.deadline + MEMORY_SECONDS)
         record.task = asyncio.current_task()
         outcome = None
         try:
@@ -292,7 +297,7 @@
         if record is None and sent_at <= self._remembers_since + MEMORY_MARGIN:
             return Unknown("the owner does not remember that far back")
         if record is None:
-            record = self._remember((origin, number))
+            record = self._remember((origin, number), deadline_after(REVOKED_SECONDS))
             record.outcome.set_result(NotRun("revoked before it arrived", 0.0))
         elif not record.dispatched and record.task is not None and not record.outcome.done():
             record.task.cancel()
@@ -302,15 +307,15 @@
         """Cancel call `number` of host `origin`; nobody waits for its answer."""
         record = self._records.get((origin, number))
         if record is None:
-            record = self._remember((origin, number))
+            record = self._remember((origin, number), deadline_after(REVOKED_SECONDS))
             record.outcome.set_result(NotRun("revoked before it arrived", 0.0))
         elif record.task is not None and not record.outcome.done():
             record.task.cancel()
 
-    def _remember(self, key):
+    def _remember(self, key, forget_at):
         self._forget_old()
         outcome = asyncio.get_running_loop().create_future()
-        record = _Record(now(), deadline_after(MEMORY_SECONDS), outcome)
+        record = _Record(now(), forget_at, outcome)
         self._records[key] = record
         return record
 
@@ -489,11 +494,13 @@
             pace=round(self._pace.value, 2),
         )
         counts = False
+        begun = now()
         try:
             answer = await self._client.fetch(call, self._instance)
             if isinstance(answer, NotRun):
                 return answer
             counts = answer.status < 500 or answer.status == GATEWAY_TIMEOUT
+            self._metrics.time("backend_seconds", now() - begun, call.service)
             self._answering_until = deadline_after(ANSWERING_SECONDS)
             self._failures.add(answer.status >= 500)
             return answer
--- a/caperstack/backend/client.py
+++ b/caperstack/backend/client.py
@@ -5,6 +5,7 @@
 from caperstack.addresses import split_address
 from caperstack.backend.connection import BackendConnection
 from caperstack.calls.dialect import Dialect
+from caperstack.calls.headers import end_to_end
 from caperstack.calls.model import NotRun
 from caperstack.clock import deadline_after, now, time_left
 from caperstack.exception import BackendError
@@ -51,6 +52,9 @@
         self._address = address
         self._answer_bytes = answer_bytes
         self._dialect = dialect or Dialect()
+        self._for_nodes = frozenset(
+            name.lower() for name in (self._dialect.request_id, self._dialect.load)
+        )
         self._on_report = on_report or _ignore
         self._room = asyncio.Semaphore(connections)
         self._idle = []
@@ -118,7 +122,7 @@
             connection = self._take_idle(fresh) or await self._open(call.deadline)
             headers = self._headers(call, instance)
             answer = await self._perform(connection, call, headers)
-        return self._refusal(answer) or answer
+        return self._refusal(answer) or self._for_the_caller(answer)
 
     async def probe(self, path, deadline):
         """Send ``GET path``, without a request id, and return the `Answered`.
@@ -188,6 +192,12 @@
             headers.append((dialect.target_instance, instance))
         return headers
 
+    def _for_the_caller(self, answer):
+        """Drop from `answer` what is for nodes only; it would cross zones for nothing."""
+        kept = end_to_end(answer.headers)
+        answer.headers = [pair for pair in kept if pair[0].lower() not in self._for_nodes]
+        return answer
+
     def _refusal(self, answer):
         if answer.status == MISDIRECTED and self._dialect.target_instance:
             return NotRun("another instance has the address", REFUSED_SECONDS, offered=True)
--- a/caperstack/callers/port.py
+++ b/caperstack/callers/port.py
@@ -310,6 +310,7 @@
             return self._counted(NotRun("node was paused", 0.1), call.service), extra
         outcome = await self._outcome(call)
         self._events.call("entry", call, outcome, begun)
+        self.metrics.time("caller_seconds", now() - begun, call.service)
         return self._counted(outcome, call.service), extra
 
     def _counted(self, outcome, service):
--- a/caperstack/operators/port.py
+++ b/caperstack/operators/port.py
@@ -2,62 +2,18 @@
 
 import json
 
-from tornado.httpserver import HTTPServer
-from tornado.web import Application, RequestHandler
-
-from caperstack.addresses import split_address
+from caperstack.operators.pages import Page, PagePort
 
 __all__ = ["OperatorPort"]
 
 
-class _Handler(RequestHandler):
-    def initialize(self, port):
-        self.port = port
-
-    def answer(self, document):
-        """Write `document` as JSON."""
-        self.set_header("Content-Type", "application/json")
-        self.write(json.dumps(document))
-
-
-class _Metrics(_Handler):
-    def get(self):
-        body, headers = self.port.metrics.render(self.request.headers.get_list("Accept"))
-        for name, value in headers.items():
-            self.set_header(name, value)
-        self.write(body)
-
-
-class _Health(_Handler):
-    def get(self):
-        document = self.port.health()
-        self.set_status(200 if document["serving"] else 503)
-        self.answer(document)
-
-
-class _Events(_Handler):
-    def get(self):
-        after = self.get_query_argument("after", "0")
-        if not after.isdigit():
-            self.set_status(400)
-            self.answer({"field": "after", "reason": "not a whole number"})
-            return
-        events = self.port.events.since(
-            int(after),
-            self.get_query_argument("request_id", ""),
-            self.get_query_argument("service", ""),
-        )
-        self.answer({"host": self.port.here.host, "events": events})
-
-
-class _Members(_Handler):
-    def get(self):
-        self.answer({"members": self.port.members_in_words()})
+def _json_page(document, status=200):
+    return Page(json.dumps(document).encode(), status, {"Content-Type": "application/json"})
 
 
-class _Settings(_Handler):
-    def get(self):
-        self.answer({"host": self.port.here.host, "subtrees": self.port.settings_in_words()})
+def _argument(request, name, default=""):
+    values = request.query_arguments.get(name)
+    return values[-1].decode("utf-8", "replace") if values else default
 
 
 class OperatorPort:
@@ -65,7 +21,7 @@
 
     def __init__(self, here):
         self.here = here
-        self._server = None
+        self._port = None
 
     async def start(self, kernel):
         """Listen."""
@@ -77,25 +33,41 @@
         self._callers = kernel.find("callers")
         self._peers = kernel.find("peer port")
         self._dispatcher = kernel.find("dispatcher")
-        routes = {
-            "/metrics": _Metrics,
-            "/health": _Health,
-            "/events": _Events,
-            "/members": _Members,
-            "/settings": _Settings,
-        }
-        application = Application(
-            [(path, handler, {"port": self}) for path, handler in routes.items()],
-            log_function=lambda handler: None,
+        self._port = PagePort(
+            self.here.operator_address,
+            {
+                "/metrics": self._metrics_page,
+                "/health": self._health_page,
+                "/events": self._events_page,
+                "/members": lambda _: _json_page({"members": self.members_in_words()}),
+                "/settings": self._settings_page,
+            },
         )
-        self._server = HTTPServer(application)
-        ip, port = split_address(self.here.operator_address)
-        self._server.listen(port, ip)
+        self._port.listen()
 
     async def stop(self):
         """Close the port."""
-        self._server.stop()
-        await self._server.close_all_connections()
+        await self._port.close()
+
+    def _metrics_page(self, request):
+        body, headers = self.metrics.render(request.headers.get_list("Accept"))
+        return Page(body, 200, dict(headers))
+
+    def _health_page(self, _request):
+        document = self.health()
+        return _json_page(document, 200 if document["serving"] else 503)
+
+    def _events_page(self, request):
+        after = _argument(request, "after", "0")
+        if not after.isdigit():
+            return _json_page({"field": "after", "reason": "not a whole number"}, 400)
+        events = self.events.since(
+            int(after), _argument(request, "request_id"), _argument(request, "service")
+        )
+        return _json_page({"host": self.here.host, "events": events})
+
+    def _settings_page(self, _request):
+        return _json_page({"host": self.here.host, "subtrees": self.settings_in_words()})
 
     def health(self):
         """Return whether this node serves, and its load, as a dict."""
--- a/caperstack/operators/tests/test_metrics.py
+++ b/caperstack/operators/tests/test_metrics.py
@@ -26,3 +26,21 @@
         body, _ = metrics.render(["text/plain"])
         self.assertLessEqual(body.decode().count("refusals_total{"), REASONS_MOST + 1)
         self.assertEqual(metrics.value("refusals"), 10 * REASONS_MOST)
+
+    def test_latencies_are_told_by_bucket(self):
+        metrics = Metrics("h1")
+        for milliseconds in (1, 30, 30, 450, 9000):
+            metrics.time("call_seconds", milliseconds / 1000, "bookings")
+        text = metrics.render(["text/plain"])[0].decode()
+        for bound, count in (("0.02", 1), ("0.05", 3), ("0.4", 3), ("0.6", 4), ("10.0", 5)):
+            self.assertIn(
+                f'call_seconds_bucket{{host="h1",kind="bookings",le="{bound}"}} {count}\n', text
+            )
+
+    def test_histograms_are_bounded(self):
+        metrics = Metrics("h1")
+        for number in range(100):
+            metrics.time("call_seconds", 0.1, f"service {number}")
+        text = metrics.render(["text/plain"])[0].decode()
+        self.assertEqual(text.count("call_seconds_count{"), 13)
+        self.assertIn('kind="other"} 88', text)
--- a/caperstack/platform/names.py
+++ b/caperstack/platform/names.py
@@ -7,6 +7,7 @@
     "CONFIGURATION_KEY",
     "DIALECT",
     "READY_PATH",
+    "SEAL",
     "SERVERS_PREFIX",
 ]
 
@@ -22,6 +23,10 @@
 #: Where the platform asks whether this node takes requests.
 READY_PATH = "/v1/ready"
 
+#: The header by which the platform recognises a backend server's own answer.
+#: The node passes it on like any other; only stand-ins set it.
+SEAL = "X-Server-Seal"
+
 DIALECT = Dialect(
     request_id="X-Request-Id",
     # Milliseconds left, not a point in time.
--- a/caperstack/platform/reader.py
+++ b/caperstack/platform/reader.py
@@ -35,6 +35,12 @@
 AWAY_SECONDS = 3.0
 
 
+#: The prefix of all keys.  A store that holds no more than this many bytes is
+#: read with one call in place of two, since calls are what is paid for.
+EVERYTHING = ""
+ALL_AT_ONCE_BYTES = 48 * 1024
+
+
 class StoreReader:
     """Read the store in turn with all other nodes, and tell them that it was read.
 
@@ -51,6 +57,7 @@
         self._here = here
         self._client = client
         self._read_at = None
+        self._all_at_once = True
         self._failures = 0
         self._resume_at = 0.0
         self._behind_until = 0.0
@@ -125,8 +132,17 @@
         self._behind_until = deadline_after(STAND_DOWN_SECONDS)
 
     async def _read(self):
-        self._take_configuration(await self._client.read(CONFIGURATION_KEY))
-        self._take_servers(await self._client.read(SERVERS_PREFIX))
+        if self._all_at_once:
+            reads = [await self._client.read(EVERYTHING)]
+        else:
+            reads = [
+                await self._client.read(CONFIGURATION_KEY),
+                await self._client.read(SERVERS_PREFIX),
+            ]
+        self._take_configuration(reads[0])
+        self._take_servers(reads[-1])
+        size = sum(len(item.value) for read in reads for item in read.items)
+        self._all_at_once = size <= ALL_AT_ONCE_BYTES
 
     def _take_configuration(self, read):
         for item in read.items:
@@ -145,8 +161,9 @@
     def _take_servers(self, read):
         listed = set()
         for item in read.items:
-            listed.add(item.key)
-            self._take_server(item)
+            if item.key.startswith(SERVERS_PREFIX):
+                listed.add(item.key)
+                self._take_server(item)
         if now() < self._returning_until:
             return
         for held in self._settings.held():
--- /dev/null
+++ b/caperstack/platform/standin/fleet.py
@@ -0,0 +1,252 @@
+"""A fleet on the platform's stand-ins: store, backend servers and real nodes on loopback."""
+
+import asyncio
+import itertools
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+from caperstack.bench.client import request
+from caperstack.bench.fleet import Process, free_addresses
+from caperstack.clock import deadline_after, now
+from caperstack.exception import CaperstackError
+from caperstack.platform.names import BOOT_VARIABLE, DIALECT, READY_PATH
+from caperstack.platform.standin.instance import StandinInstance
+from caperstack.platform.standin.store import StandinStore
+
+__all__ = ["Host", "PlatformFleet", "PlatformNode", "route_row"]
+
+#: The first of the loopback addresses that stand for hosts; one for each.
+FIRST_IP = (127, 0, 0, 11)
+
+ROUTE_COLUMNS = [
+    "name",
+    "authority",
+    "prefix",
+    "kind",
+    "timeout",
+    "targetLatency",
+    "priority",
+    "service",
+    "maxAttempts",
+    "trafficSplit",
+]
+
+_names = itertools.count(1)
+
+
+def route_row(prefix, service, kind="idempotent", **changes):
+    """Return a row of the configuration's routes; `changes` are by column."""
+    row = {
+        "name": f"r{prefix.replace('/', '-')}",
+        "authority": "x.example",
+        "prefix": prefix,
+        "kind": kind,
+        "timeout": "3s",
+        "targetLatency": "600ms",
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2,
+        "trafficSplit": None,
+    }
+    return [(row | changes)[column] for column in ROUTE_COLUMNS]
+
+
+class PlatformNode(Process):
+    """A node as the platform starts it: settings by environment, output read at will."""
+
+    def __init__(self, name, boot_path, directory):
+        super().__init__(name, ["caperstack.platform"], directory)
+        self.boot_path = boot_path
+
+    def start(self):
+        """Start it."""
+        with open(self._path, "ab") as log:
+            self._popen = subprocess.Popen(
+                [sys.executable, "-m", "caperstack.platform"],
+                stdout=log,
+                stderr=log,
+                env=os.environ | {BOOT_VARIABLE: str(self.boot_path)},
+            )
+
+    def lines(self, kind):
+        """Return the log lines of that kind, decoded."""
+        decoded = [json.loads(line) for line in self.output.splitlines() if line[:1] == "{"]
+        return [line for line in decoded if line["kind"] == kind]
+
+
+@dataclass
+class Host:
+    """One host of the fleet: its place, its backend server and its node."""
+
+    ip: str
+    zone: str
+    instance: StandinInstance
+    boot: dict
+    node: PlatformNode
+
+    @property
+    def outbound(self):
+        """Where callers on the host send their requests."""
+        return self.boot["listen"]["outbound"]
+
+
+class PlatformFleet:
+    """Hosts with a node and a backend server each, and the store.
+
+    Parameters
+    ----------
+    services : list of str
+        The service of each host in turn.
+    routes : list
+        Rows as `route_row` makes them.
+    """
+
+    def __init__(self, services, routes, page_items=50):
+        self._directory = tempfile.TemporaryDirectory(prefix="caperstack-")
+        ports = [address.rpartition(":")[2] for address in free_addresses(6)]
+        self._ports = dict(
+            zip(("outbound", "ready", "peers", "metrics", "backend", "store"), ports, strict=True)
+        )
+        self._ports["metrics"] = str(int(self._ports["peers"]) + 1)
+        self._version = 0
+        self.store_addresses = [f"127.0.0.{n}:{self._ports['store']}" for n in (2, 3)]
+        self.store = StandinStore(self.store_addresses, page_items)
+        self.routes = routes
+        self.services = sorted(set(services))
+        self.hosts = [self._host(number, service) for number, service in enumerate(services)]
+
+    def _host(self, number, service):
+        ip = ".".join(str(part) for part in (*FIRST_IP[:3], FIRST_IP[3] + number))
+        ports = self._ports
+        name = f"i-{next(_names):06x}"
+        instance = StandinInstance(f"{ip}:{ports['backend']}", service, name)
+        boot = {
+            "nodeName": f"host-{number}",
+            "ip": ip,
+            "zone": "abc"[number % 3],
+            "region": "r",
+            "listen": {"outbound": f"{ip}:{ports['outbound']}", "ready": f"{ip}:{ports['ready']}"},
+            "portRange": [int(ports["peers"]), int(ports["peers"]) + 15],
+            "appAddress": instance.address,
+            "service": service,
+            "platformSettings": {"address": self.store_addresses[0]},
+            "heartbeat": "1500ms",
+            "bounds": {
+                "retryBudgetRatio": 0.2,
+                "budgetMinRetries": 64,
+                "budgetWindow": "10s",
+                "grace": "6s",
+            },
+        }
+        path = Path(self._directory.name) / f"boot-{number}.json"
+        node = PlatformNode(f"node-{number}", path, self._directory.name)
+        return Host(ip, boot["zone"], instance, boot, node)
+
+    async def __aenter__(self):
+        await self.store.start()
+        self.configure()
+        for host in self.hosts:
+            await host.instance.start()
+            self.register(host)
+        try:
+            for host in self.hosts:
+                self.start_node(host)
+            for host in self.hosts:
+                await self.until_ready(host)
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def __aexit__(self, *_):
+        for host in self.hosts:
+            host.node.signal(signal.SIGCONT)
+            if host.node.running:
+                host.node.kill()
+            await host.instance.stop()
+        await self.store.stop()
+        self._directory.cleanup()
+
+    def configure(self):
+        """Publish the present routes as the next version."""
+        self._version += 1
+        services = [[name, "/health", 200] for name in self.services]
+        self.store.put(
+            "op/config",
+            {
+                "version": self._version,
+                "routes": {"columns": ROUTE_COLUMNS, "rows": self.routes},
+                "services": {"columns": ["name", "healthPath", "maxConnections"], "rows": services},
+                "limits": {"maxBodyBytes": 1 << 20, "idleTimeout": "15s"},
+            },
+        )
+
+    def register(self, host, state="ready"):
+        """Write the entry of the host's backend server."""
+        self.store.put(f"servers/{host.instance.name}", host.instance.entry(host.zone, state))
+
+    def withdraw(self, host):
+        """Remove the entry of the host's backend server."""
+        self.store.remove(f"servers/{host.instance.name}")
+
+    def write_boot(self, host):
+        """Write the start settings of `host`, as the platform does when they change."""
+        host.node.boot_path.write_text(json.dumps(host.boot), encoding="utf-8")
+
+    def start_node(self, host):
+        """Start the node of `host`, with its present settings."""
+        self.write_boot(host)
+        host.node.start()
+
+    async def until_ready(self, host):
+        """Wait until the node says that it takes requests and knows all registered hosts."""
+
+        async def condition():
+            return await self.ready(host) and await self.knows(host) >= len(self.hosts)
+
+        await self.until(condition, f"{host.ip} ready")
+
+    async def ready(self, host):
+        """Return whether the node says that it takes requests."""
+        try:
+            reply = await request(host.boot["listen"]["ready"], "GET", READY_PATH)
+        except OSError:
+            return False
+        return reply.code == 200
+
+    async def knows(self, host):
+        """Return how many hosts the node knows."""
+        address = f"{host.ip}:{self._ports['metrics']}"
+        return len(json.loads((await request(address, "GET", "/members")).body)["members"])
+
+    async def until(self, condition, what, seconds=30.0):
+        """Wait until ``await condition()`` is true."""
+        limit = deadline_after(seconds)
+        while not await condition():
+            if now() > limit:
+                raise CaperstackError("did not come true in time", step="wait", peer=what)
+            await _pause()
+
+    async def ask(self, host, path, method="GET", milliseconds=3000, body=b"", **headers):
+        """Send a request through the node of `host`; return its id and tornado's response."""
+        name = f"{next(_names):016x}"
+        sent = {
+            "Host": "x.example",
+            DIALECT.request_id: name,
+            DIALECT.time_left: str(milliseconds),
+        }
+        return name, await request(host.outbound, method, path, sent | headers, body)
+
+    def runs(self, name):
+        """Return how often the request `name` ran, on all backend servers together."""
+        return sum(host.instance.runs[name] for host in self.hosts)
+
+
+async def _pause():
+    await asyncio.sleep(0.02)
--- /dev/null
+++ b/caperstack/platform/standin/instance.py
@@ -0,0 +1,171 @@
+"""A stand-in for a backend server of the platform: slots, load header, refusals, a ledger."""
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass, field
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, ResponseStartLine
+
+from caperstack.platform.names import DIALECT, SEAL
+
+__all__ = ["Conduct", "StandinInstance"]
+
+
+@dataclass
+class Conduct:
+    """How the server behaves; a test changes it at any time.
+
+    Attributes
+    ----------
+    seconds : float
+        How long work takes, before the pace.
+    pace : float
+        How many times longer work takes that starts now; told in the load header.
+    status : int
+        Of answers to requests that ran.
+    refuse : bool
+        Answer 503 with the mark that the request was not run.
+    lose_answers : bool
+        Run each request, then reset the connection.
+    extra_answers : bool
+        Send each answer twice.
+    unframed : str
+        Answers without a length: ``"whole"`` end with a close, ``"reset"`` in
+        the middle with a reset.
+    healthy : bool
+        What the health path says.
+    """
+
+    seconds: float = 0.0
+    pace: float = 1.0
+    status: int = 200
+    refuse: bool = False
+    lose_answers: bool = False
+    extra_answers: bool = False
+    unframed: str = ""
+    healthy: bool = True
+    body: bytes = b"whole answer"
+
+
+@dataclass
+class StandinInstance:
+    """One backend server, known by the name of its present instance.
+
+    Attributes
+    ----------
+    runs : Counter
+        How often each request id ran.
+    seen : list of dict
+        The headers of each request that ran, with its method, target and body.
+    broken_off : int
+        Requests whose connection closed while they ran.
+    """
+
+    address: str
+    service: str
+    name: str
+    slots: int = 8
+    conduct: Conduct = field(default_factory=Conduct)
+    runs: Counter = field(default_factory=Counter)
+    seen: list = field(default_factory=list)
+    broken_off: int = 0
+    running: int = 0
+
+    async def start(self):
+        """Listen."""
+        self._tasks = set()
+        self._server = HTTPServer(self._accept, idle_connection_timeout=3600)
+        ip, port = self.address.rsplit(":", 1)
+        self._server.listen(int(port), ip)
+
+    async def stop(self):
+        """Close the port and all connections."""
+        self._server.stop()
+        await self._server.close_all_connections()
+
+    def entry(self, zone, state="ready"):
+        """Return the document under which the server registers itself."""
+        return {
+            "address": self.address,
+            "info": {"service": self.service, "version": "v1", "zone": zone, "slots": self.slots},
+            "status": {"state": state, "sequence": 1, "coldLeft": "0ms"},
+        }
+
+    def _accept(self, request):
+        task = asyncio.create_task(self._handle(request))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        request.connection.set_close_callback(task.cancel)
+
+    async def _handle(self, request):
+        if request.path == "/health":
+            self._write(request, 200 if self.conduct.healthy else 503, b"", {})
+        elif request.headers.get(DIALECT.target_instance, self.name) != self.name:
+            self._write(request, 421, b"", {})
+        elif self.conduct.refuse:
+            self._write(request, 503, b"", {DIALECT.not_executed: "1"})
+        else:
+            await self._run(request)
+
+    async def _run(self, request):
+        name = request.headers.get(DIALECT.request_id, "")
+        self.runs[name] += 1
+        seen = dict(request.headers.get_all())
+        self.seen.append(
+            seen | {"method": request.method, "target": request.uri, "body": request.body}
+        )
+        self.running += 1
+        try:
+            await asyncio.sleep(self.conduct.seconds * self.conduct.pace)
+        except asyncio.CancelledError:
+            self.broken_off += 1
+            raise
+        finally:
+            self.running -= 1
+        self._answer(request)
+
+    def _answer(self, request):
+        conduct = self.conduct
+        if conduct.lose_answers:
+            request.connection.stream.close()
+        elif conduct.unframed:
+            self._write_unframed(request)
+        else:
+            self._write(request, conduct.status, conduct.body, {SEAL: str(len(conduct.body))})
+
+    def _headers(self, request, more):
+        headers = HTTPHeaders(more)
+        headers[DIALECT.instance] = self.name
+        percent = round(self.conduct.pace * 100)
+        headers[DIALECT.load] = f"{self.running},0,{self.slots},{percent}"
+        name = request.headers.get(DIALECT.request_id)
+        if name:
+            headers[DIALECT.request_id] = name
+        return headers
+
+    def _write(self, request, status, body, more):
+        headers = self._headers(request, more)
+        headers["Content-Length"] = str(len(body))
+        stream = request.connection.stream
+        request.connection.write_headers(ResponseStartLine("", status, "Said"), headers, body)
+        request.connection.finish()
+        if self.conduct.extra_answers and SEAL in headers:
+            head = f"HTTP/1.1 200 OK\r\n{DIALECT.request_id}: {headers[DIALECT.request_id]}\r\n"
+            stream.write(f"{head}{SEAL}: 5\r\nContent-Length: 5\r\n\r\nextra".encode())
+
+    def _write_unframed(self, request):
+        headers = self._headers(request, {SEAL: str(len(self.conduct.body))})
+        head = "".join(f"{name}: {value}\r\n" for name, value in headers.get_all())
+        body = self.conduct.body
+        whole = self.conduct.unframed == "whole"
+        stream = request.connection.stream
+        stream.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode() + body[: None if whole else 5])
+        if not whole:
+            _reset_on_close(stream.socket)
+        asyncio.get_running_loop().call_later(0.02, stream.close)
+
+
+def _reset_on_close(sock):
+    # A linger time of zero makes the close a reset.
+    sock.setsockopt(1, 13, b"\x01\x00\x00\x00\x00\x00\x00\x00")
--- /dev/null
+++ b/caperstack/platform/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform adapter."""
--- /dev/null
+++ b/caperstack/platform/tests/test_path.py
@@ -0,0 +1,292 @@
+"""The whole path on the platform's stand-ins, with real nodes."""
+
+import asyncio
+import signal
+import unittest
+
+from caperstack.addresses import split_address
+from caperstack.clock import now
+from caperstack.platform.names import DIALECT, SEAL
+from caperstack.platform.standin.fleet import PlatformFleet, route_row
+
+ROUTES = [
+    route_row("/list/", "slots"),
+    route_row("/book/", "slots", "non_idempotent", priority=0),
+    route_row("/rates/", "rates"),
+    route_row("/short/", "slots", timeout="300ms"),
+]
+
+
+class _FleetCase(unittest.IsolatedAsyncioTestCase):
+    """Two hosts of one service and one of another."""
+
+    services = ("slots", "slots", "rates")
+
+    async def asyncSetUp(self):
+        fleet = PlatformFleet(list(self.services), list(ROUTES))
+        self.fleet = await self.enterAsyncContext(fleet)
+        self.first, self.second, self.third = self.fleet.hosts[:3]
+
+    async def until(self, condition, what="condition"):
+        await self.fleet.until(condition, what)
+
+
+class TestPath(_FleetCase):
+    """What callers and backend servers see on a calm day."""
+
+    async def test_answers_pass_unchanged_through_every_node(self):
+        for host in self.fleet.hosts:
+            for method, path in (("GET", "/list/a?b=c"), ("POST", "/book/x"), ("GET", "/rates/")):
+                name, reply = await self.fleet.ask(host, path, method, body=b"" * 3)
+                self.assertEqual((reply.code, reply.body), (200, b"whole answer"))
+                self.assertIn(SEAL, reply.headers)
+                self.assertEqual(reply.headers[DIALECT.request_id], name)
+                self.assertEqual(self.fleet.runs(name), 1)
+
+    async def test_backend_server_gets_the_request_and_what_the_node_adds(self):
+        # A caller claims to be another service; the backend server is told
+        # where the request really began, whom it is for and what time is left.
+        await self.fleet.ask(
+            self.third, "/book/x?y=1", "POST", 2000, b"body", **{DIALECT.caller_service: "liar"}
+        )
+        seen = (self.first.instance.seen + self.second.instance.seen)[-1]
+        self.assertEqual((seen["method"], seen["target"]), ("POST", "/book/x?y=1"))
+        self.assertEqual((seen["body"], seen["Host"]), (b"body", "x.example"))
+        self.assertEqual(seen[DIALECT.caller_service], "rates")
+        self.assertIn(
+            seen[DIALECT.target_instance], (self.first.instance.name, self.second.instance.name)
+        )
+        self.assertLessEqual(int(seen[DIALECT.time_left]), 2000)
+        self.assertGreater(int(seen[DIALECT.time_left]), 1000)
+
+    async def test_routes_go_by_host_and_by_whole_prefix(self):
+        for path, headers in (("/nowhere/", {}), ("/list", {}), ("/list/", {"Host": "y.example"})):
+            _, reply = await self.fleet.ask(self.first, path, **headers)
+            self.assertEqual(reply.code, 404)
+
+    async def test_route_timeout_is_answered_when_it_is_over(self):
+        self.first.instance.conduct.seconds = self.second.instance.conduct.seconds = 5.0
+        began = now()
+        _, reply = await self.fleet.ask(self.third, "/short/", milliseconds=3000)
+        self.assertEqual(reply.code, 504)
+        self.assertLess(now() - began, 1.5)
+
+    async def test_caller_that_leaves_ends_the_work(self):
+        # A golfer hangs up while a listing runs on another host; the backend
+        # server must not work on for nobody.
+        self.first.instance.conduct.seconds = self.second.instance.conduct.seconds = 30.0
+        reader, writer = await asyncio.open_connection(*split_address(self.third.outbound))
+        writer.write(b"GET /list/ HTTP/1.1\r\nHost: x.example\r\nX-Request-Id: gone\r\n\r\n")
+
+        async def running():
+            return self.fleet.runs("gone") == 1
+
+        async def broken_off():
+            return sum(host.instance.broken_off for host in self.fleet.hosts) == 1
+
+        await self.until(running, "the listing runs")
+        writer.close()
+        await self.fleet.until(broken_off, "the backend server notices", 2.0)
+
+
+class TestBackendServers(_FleetCase):
+    """Backend servers that leave, lose answers, refuse, or send too much."""
+
+    async def test_draining_server_gets_no_new_work(self):
+        self.fleet.register(self.first, "draining")
+        await self.until(self.leaves_alone(self.first), "no new work")
+        for _ in range(20):
+            _, reply = await self.fleet.ask(self.third, "/list/")
+            self.assertEqual(reply.code, 200)
+        self.assertTrue(await self.leaves_alone(self.first)())
+
+    async def test_server_whose_entry_is_gone_gets_no_new_work(self):
+        self.fleet.withdraw(self.first)
+        await self.until(self.leaves_alone(self.first), "no new work")
+
+    def leaves_alone(self, host):
+        """Return a condition: ten calls in a row go elsewhere."""
+
+        async def condition():
+            before = sum(host.instance.runs.values())
+            for _ in range(10):
+                await self.fleet.ask(self.third, "/list/")
+            return sum(host.instance.runs.values()) == before
+
+        return condition
+
+    async def test_reused_address_runs_nothing_of_the_old_service(self):
+        # A backend server ends and its address goes to one of another service
+        # before any node has heard of it.  A booking that still goes there is
+        # refused by the new one and runs on the other host.
+        self.first.instance.name = "i-other"
+        self.first.instance.service = "rates"
+        for _ in range(10):
+            name, reply = await self.fleet.ask(self.third, "/book/x", "POST")
+            self.assertEqual(self.fleet.runs(name), 1 if reply.code == 200 else 0)
+        self.assertEqual(sum(self.first.instance.runs.values()), 0)
+
+    async def test_lost_answer_of_a_booking_runs_once_and_promises_nothing(self):
+        for host in (self.first, self.second):
+            host.instance.conduct.lose_answers = True
+        name, reply = await self.fleet.ask(self.third, "/book/x", "POST")
+        self.assertEqual((reply.code, self.fleet.runs(name)), (502, 1))
+
+    async def test_lost_answer_of_a_listing_is_got_elsewhere(self):
+        self.first.instance.conduct.lose_answers = True
+        replies = [await self.fleet.ask(self.third, "/list/") for _ in range(4)]
+        self.assertIn(2, [self.fleet.runs(name) for name, _ in replies])
+        self.assertEqual({reply.code for _, reply in replies}, {200})
+
+    async def test_refusal_by_the_server_is_told_as_not_run(self):
+        for host in (self.first, self.second):
+            host.instance.conduct.refuse = True
+        name, reply = await self.fleet.ask(self.third, "/book/x", "POST")
+        self.assertEqual((reply.code, self.fleet.runs(name)), (503, 0))
+        self.assertGreater(float(reply.headers["Retry-After"]), 0.0)
+
+    async def test_extra_answers_reach_nobody(self):
+        # A backend server answers each request twice.  The second answer lies
+        # on the kept-alive connection when the next request goes out.
+        for host in (self.first, self.second):
+            host.instance.conduct.extra_answers = True
+        for _ in range(20):
+            name, reply = await self.fleet.ask(self.third, "/list/")
+            self.assertEqual((reply.code, reply.body), (200, b"whole answer"))
+            self.assertEqual(reply.headers[DIALECT.request_id], name)
+
+    async def test_answer_without_a_length_is_whole_unless_reset(self):
+        for host in (self.first, self.second):
+            host.instance.conduct.unframed = "whole"
+        _, reply = await self.fleet.ask(self.third, "/book/x", "POST")
+        self.assertEqual((reply.code, reply.body), (200, b"whole answer"))
+        for host in (self.first, self.second):
+            host.instance.conduct.unframed = "reset"
+        _, reply = await self.fleet.ask(self.third, "/book/x", "POST")
+        self.assertEqual(reply.code, 502)
+
+
+class TestConfiguration(_FleetCase):
+    """What the operator publishes, and who learns it how."""
+
+    async def test_change_is_in_force_everywhere(self):
+        self.fleet.routes.append(route_row("/new/", "rates"))
+        self.fleet.configure()
+        for host in self.fleet.hosts:
+            await self.fleet.until(self.serves(host, "/new/"), f"in force at {host.ip}", 3.0)
+
+    def serves(self, host, path):
+        async def condition():
+            return (await self.fleet.ask(host, path))[1].code == 200
+
+        return condition
+
+    async def test_node_that_the_store_refuses_learns_from_peers(self):
+        # One node starts while the store turns it away; the others reach it.
+        # It must get routes and members from them, and say 503 until then.
+        self.third.node.kill()
+        self.third.boot["platformSettings"] = {"address": self.fleet.store_addresses[1]}
+        self.fleet.store.troubles[self.fleet.store_addresses[1]].status = 429
+        self.fleet.start_node(self.third)
+        await self.third.node.listening(self.third.outbound)
+        await self.until(self.serves(self.third, "/list/"), "served without the store")
+        self.fleet.routes.append(route_row("/new/", "rates"))
+        self.fleet.configure()
+        await self.fleet.until(self.serves(self.third, "/new/"), "change without the store", 3.0)
+
+    async def test_malformed_configuration_leaves_the_last_good_in_force(self):
+        good = list(self.fleet.routes)
+        self.fleet.routes[0] = route_row("/list/", "slots", "sometimes")
+        self.fleet.configure()
+
+        async def refused():
+            lines = [line for host in self.fleet.hosts for line in host.node.lines("state")]
+            return any("refused" in line["new"] and "kind" in line["new"] for line in lines)
+
+        await self.until(refused, "the field is named")
+        self.assertEqual((await self.fleet.ask(self.first, "/list/"))[1].code, 200)
+        self.fleet.routes[:] = [*good, route_row("/new/", "rates")]
+        self.fleet.configure()
+        await self.until(self.serves(self.first, "/new/"), "the next good one")
+
+    async def test_split_is_kept_to_the_call(self):
+        parts = [{"service": "slots", "weight": 3}, {"service": "rates", "weight": 1}]
+        self.fleet.routes.append(route_row("/split/", None, trafficSplit=parts))
+        self.fleet.configure()
+        await self.until(self.serves(self.first, "/split/"), "in force")
+        before = sum(self.third.instance.runs.values())
+        for _ in range(40):
+            await self.fleet.ask(self.first, "/split/")
+        self.assertAlmostEqual(sum(self.third.instance.runs.values()) - before, 10, delta=1)
+
+    async def test_store_calls_do_not_grow_with_the_fleet(self):
+        # Three nodes for four seconds: one reading each 0.75 s for all of
+        # them, where each for itself would make three times as many.
+        before = self.fleet.store.calls
+        await asyncio.sleep(4.0)
+        self.assertLessEqual(self.fleet.store.calls - before, 9)
+
+    async def test_killed_reader_is_replaced(self):
+        # The node that reads for all is killed; the next in order reads when
+        # the last reading is a second old, and a change is in force in time.
+        hosts = list(self.fleet.hosts)
+        for victim in hosts[:2]:
+            victim.node.kill()
+        self.fleet.routes.append(route_row("/new/", "rates"))
+        self.fleet.configure()
+        await self.fleet.until(self.serves(self.third, "/new/"), "in force", 3.0)
+
+
+class TestStartAndStop(_FleetCase):
+    """Nodes that end and begin."""
+
+    async def test_node_without_settings_says_503_and_is_not_ready(self):
+        for host in self.fleet.hosts:
+            host.node.kill()
+        for troubles in self.fleet.store.troubles.values():
+            troubles.silent = True
+        self.fleet.start_node(self.first)
+        await self.first.node.listening(self.first.outbound)
+        _, reply = await self.fleet.ask(self.first, "/list/")
+        self.assertEqual((reply.code, await self.fleet.ready(self.first)), (503, False))
+        for troubles in self.fleet.store.troubles.values():
+            troubles.silent = False
+
+        async def serves():
+            return (await self.fleet.ask(self.first, "/list/"))[1].code == 200
+
+        await self.until(serves, "serves when the store is back")
+
+    async def test_stop_cuts_no_request(self):
+        # SIGTERM reaches a node while requests run beside it and through it,
+        # and callers go on sending until they notice that it is not ready.
+        for host in self.fleet.hosts:
+            host.instance.conduct.seconds = 0.3
+        asked = [asyncio.create_task(self.fleet.ask(self.first, "/list/")) for _ in range(4)]
+        asked += [asyncio.create_task(self.fleet.ask(self.third, "/list/")) for _ in range(4)]
+        await asyncio.sleep(0.1)
+        self.first.node.signal(signal.SIGTERM)
+        await asyncio.sleep(0.2)
+        self.assertFalse(await self.fleet.ready(self.first))
+        for _ in range(5):
+            asked.append(asyncio.create_task(self.fleet.ask(self.first, "/rates/")))
+            await asyncio.sleep(0.2)
+        codes = [reply.code for _, reply in await asyncio.gather(*asked)]
+        self.assertEqual(set(codes), {200})
+        self.assertEqual(await self.first.node.ended(), 0)
+
+    async def test_settings_that_change_are_taken_over(self):
+        # The host gets a backend server of another service; with or without a
+        # signal, requests that begin there now carry the new service.
+        for number, service in enumerate(("other", "another")):
+            self.first.boot["service"] = service
+            self.fleet.write_boot(self.first)
+            if number:
+                self.first.node.signal(signal.SIGHUP)
+
+            async def told(service=service):
+                await self.fleet.ask(self.first, "/rates/")
+                return self.third.instance.seen[-1][DIALECT.caller_service] == service
+
+            await self.until(told, "the new service is told")
+        self.assertGreaterEqual(len(self.first.node.lines("reload")), 2)
