--- a/caperstack/callers/patience.py
+++ b/caperstack/callers/patience.py
@@ -9,6 +9,9 @@
 #: who come back have all kinds of time left; a few wait longer than the rest.
 USUAL_SHARE = 0.1
 
+#: Calls before which nothing is known.
+KNOWN_AFTER = 20
+
 #: Calls after which old ones count half.
 HALVE_AFTER = 400
 
@@ -49,6 +52,8 @@
         step = round(time_left / STEP_SECONDS)
         classes[step] = classes.get(step, 0) + 1
         total = sum(classes.values())
+        if total < KNOWN_AFTER:
+            return 0.0
         if total >= HALVE_AFTER:
             classes = self._routes[route] = {s: n / 2 for s, n in classes.items() if n >= 2}
         usual = max((s for s, n in classes.items() if n >= USUAL_SHARE * total), default=step)
--- /dev/null
+++ b/caperstack/events/tests/test_log.py
@@ -0,0 +1,76 @@
+"""Log lines: bounded, whole, and never waited for."""
+
+import json
+import os
+import unittest
+from unittest import mock
+
+from caperstack.clock import now
+from caperstack.events.log import WAITING_MOST, LogWriter
+
+
+class TestLogWriter(unittest.TestCase):
+    """`LogWriter` on a pipe."""
+
+    def setUp(self):
+        self.reading, self.writing = os.pipe()
+        self.addCleanup(os.close, self.reading)
+        self.addCleanup(os.close, self.writing)
+
+    def lines(self):
+        return [json.loads(line) for line in os.read(self.reading, 1 << 20).splitlines()]
+
+    def test_line_is_json_with_its_host_and_kind(self):
+        LogWriter(self.writing, "h1").line("owner refuses", id="a", waiting=3)
+        line = self.lines()[0]
+        self.assertEqual((line["host"], line["kind"]), ("h1", "owner refuses"))
+        self.assertEqual((line["id"], line["waiting"]), ("a", 3))
+
+    def test_lines_beyond_the_bound_are_counted(self):
+        # A burst of refusals must not turn into a burst of log lines that
+        # takes the processor from the calls that are still served.
+        clock = 10.0
+        with mock.patch("caperstack.events.log.now", lambda: clock):
+            log = LogWriter(self.writing, "h1", lines_per_second=5)
+            for number in range(20):
+                log.line("x", number=number)
+        self.assertEqual(len(self.lines()), 5)
+        self.assertEqual(log.omitted, 15)
+
+    def test_the_next_line_tells_how_many_are_missing(self):
+        log = LogWriter(self.writing, "h1", lines_per_second=1)
+        with mock.patch("caperstack.events.log.now", lambda: 0.0):
+            log.line("x")
+            log.line("x")
+        with mock.patch("caperstack.events.log.now", lambda: 1e12):
+            log.line("x")
+        self.assertEqual(self.lines()[1]["lines_left_out"], 1)
+
+    def test_full_pipe_stops_nobody(self):
+        # Whoever reads the log has stopped.  The process goes on at once, and
+        # what was left out is counted.
+        log = LogWriter(self.writing, "h1", lines_per_second=10**9)
+        began = now()
+        for _ in range(2000):
+            log.line("x", text="y" * 500)
+        self.assertLess(now() - began, 5.0)
+        self.assertGreater(log.omitted, 2000 - WAITING_MOST - 200)
+
+    def test_cut_lines_go_on_where_they_stopped(self):
+        log = LogWriter(self.writing, "h1", lines_per_second=10**9)
+        for number in range(400):
+            log.line("x", number=number, text="y" * 500)
+        data = b""
+        while data.count(b"\n") < 400:
+            data += os.read(self.reading, 1 << 16)
+            log._flush()
+        numbers = [json.loads(line)["number"] for line in data.splitlines()]
+        self.assertEqual(numbers, list(range(400)))
+
+    def test_reader_that_is_gone_ends_the_log(self):
+        reading, writing = os.pipe()
+        log = LogWriter(writing, "h1")
+        os.close(reading)
+        log.line("x")
+        log.line("x")
+        os.close(writing)
--- /dev/null
+++ b/caperstack/platform/tests/test_decoding.py
@@ -0,0 +1,119 @@
+"""Start settings, configuration and entries: decoded whole, or refused by name."""
+
+import json
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from caperstack.exception import ConfigurationError
+from caperstack.platform.boot import parse_boot
+from caperstack.platform.durations import seconds_of
+from caperstack.platform.items import StoreCodec, server_document
+from caperstack.platform.names import CONFIGURATION_KEY
+from caperstack.platform.standin.fleet import PlatformFleet, route_row
+
+FLEET = PlatformFleet(["slots"], [])
+BOOT = FLEET.hosts[0].boot
+
+
+def configuration(*rows, **changes):
+    """Return a configuration's document with these routes."""
+    columns = "name authority prefix kind timeout targetLatency priority service"
+    return {
+        "version": 3,
+        "routes": {"columns": [*columns.split(), "maxAttempts", "trafficSplit"], "rows": rows},
+        "services": {
+            "columns": ["name", "healthPath", "maxConnections"],
+            "rows": [["slots", "/h", 260]],
+        },
+        "limits": {"maxBodyBytes": 1000, "idleTimeout": "15s"},
+    } | changes
+
+
+class TestDurations(unittest.TestCase):
+    """`seconds_of`."""
+
+    def test_both_units(self):
+        self.assertEqual((seconds_of("1500ms"), seconds_of("2.5s")), (1.5, 2.5))
+
+    @given(st.one_of(st.none(), st.integers(), st.text(max_size=8)))
+    def test_anything_else_names_the_field(self, value):
+        try:
+            self.assertGreaterEqual(seconds_of(value, "here"), 0.0)
+        except ConfigurationError as error:
+            self.assertIn("here", str(error))
+
+
+class TestBoot(unittest.TestCase):
+    """`parse_boot`."""
+
+    def test_fields_reach_the_product(self):
+        boot = parse_boot(json.dumps(BOOT))
+        self.assertEqual(boot.here.host, BOOT["ip"])
+        self.assertEqual(boot.here.backend.service, "slots")
+        self.assertEqual((boot.allowance.share, boot.allowance.floor), (0.2, 64.0))
+        self.assertLess(boot.drain_until_seconds, 6.0)
+
+    def test_unknown_fields_are_ignored(self):
+        self.assertEqual(parse_boot(json.dumps(BOOT | {"new": 1})).name, BOOT["nodeName"])
+
+    def test_bad_fields_are_named(self):
+        cases = {
+            "zone": BOOT | {"zone": 5},
+            "outbound": BOOT | {"listen": {"ready": "127.0.0.1:1"}},
+            "portRange": BOOT | {"portRange": [7]},
+            "budgetMinRetries": BOOT | {"bounds": BOOT["bounds"] | {"budgetMinRetries": "x"}},
+            "bounds.grace": BOOT | {"bounds": BOOT["bounds"] | {"grace": "soon"}},
+        }
+        for field, document in cases.items():
+            with self.assertRaises(ConfigurationError) as caught:
+                parse_boot(json.dumps(document))
+            self.assertIn(field, str(caught.exception))
+
+
+class TestItems(unittest.TestCase):
+    """`StoreCodec`."""
+
+    def parse(self, document):
+        return StoreCodec().parse(CONFIGURATION_KEY, document)
+
+    def test_route_is_decoded_whole(self):
+        row = route_row("/a/b/", "slots", "non_idempotent", priority=2)
+        route = self.parse(configuration(row)).routes[0]
+        self.assertEqual((route.host, route.path, route.service), ("x.example", "/a/b/", "slots"))
+        self.assertEqual((route.idempotent, route.criticality, route.attempts), (False, -2, 2))
+        self.assertEqual((route.deadline_seconds, route.objective_seconds), (3.0, 0.6))
+
+    def test_longest_prefix_wins_in_the_table(self):
+        rows = [route_row("/a/", "slots"), route_row("/a/b/", "rates")]
+        table = StoreCodec().compile({CONFIGURATION_KEY: self.parse(configuration(*rows))})
+        self.assertEqual(table.route("GET", "/a/b/c", "x.example").service, "rates")
+        self.assertEqual(table.route("GET", "/a/bc", "x.example:80").service, "slots")
+        self.assertIsNone(table.route("GET", "/a", "x.example"))
+
+    def test_bad_configurations_name_the_field(self):
+        cases = {
+            "kind": configuration(route_row("/a/", "slots", "sometimes")),
+            "timeout": configuration(route_row("/a/", "slots", timeout="soon")),
+            "service": configuration(route_row("/a/", None)),
+            "version": configuration(version="new"),
+            "limits": configuration(limits=None),
+        }
+        for field, document in cases.items():
+            with self.assertRaises(ConfigurationError) as caught:
+                self.parse(document)
+            self.assertIn(field, str(caught.exception))
+
+    def test_heartbeat_is_no_change(self):
+        host = FLEET.hosts[0]
+        first = host.instance.entry("a")
+        second = json.loads(json.dumps(first))
+        second["status"]["sequence"] = 99
+        self.assertEqual(server_document(first), server_document(second))
+
+    def test_unknown_state_is_refused(self):
+        document = server_document(FLEET.hosts[0].instance.entry("a")) | {"created": 1}
+        with self.assertRaises(ConfigurationError) as caught:
+            StoreCodec().parse("servers/i", document | {"state": "dancing"})
+        self.assertIn("dancing", str(caught.exception))
--- /dev/null
+++ b/caperstack/routing/tests/test_service.py
@@ -0,0 +1,82 @@
+"""Splits, allowances, attempts and the moment of a hedge."""
+
+import unittest
+from unittest import mock
+
+from caperstack.calls.model import Call
+from caperstack.routing.budgets import CallBudget, FleetAllowance
+from caperstack.routing.service import Attempts, ServiceState
+from caperstack.routing.split import Splitter
+from caperstack.routing.table import Route, WeightedService
+
+
+class TestSplitter(unittest.TestCase):
+    """`Splitter.choose`."""
+
+    def test_weights_are_kept_in_every_short_span(self):
+        route = Route("/", (WeightedService("a", 70), WeightedService("b", 30)))
+        splitter = Splitter()
+        chosen = [splitter.choose(route) for _ in range(200)]
+        for start in range(0, 180, 20):
+            self.assertAlmostEqual(chosen[start : start + 20].count("b"), 6, delta=1)
+
+    def test_weight_of_zero_gets_nothing(self):
+        route = Route("/", (WeightedService("a", 1), WeightedService("b", 0)))
+        splitter = Splitter()
+        self.assertNotIn("b", [splitter.choose(route) for _ in range(50)])
+
+
+class TestFleetAllowance(unittest.TestCase):
+    """`FleetAllowance`: the parts of all nodes stay below the whole."""
+
+    def test_all_nodes_together_stay_below_the_floor(self):
+        # Every call of every entry fails for ten seconds and all repeat as
+        # they may; the service must not get more than the allowance.
+        allowance = FleetAllowance(0.2, 64, 10.0)
+        clock = 0.0
+        with mock.patch("caperstack.routing.budgets.now", lambda: clock):
+            budgets = [allowance.budget(11) for _ in range(11)]
+            calls = taken = 0
+            while clock < 10.0:
+                clock += 0.05
+                for budget in budgets:
+                    budget.deposit(allowance.deposit_share())
+                    calls += 1
+                    taken += budget.withdraw()
+        self.assertLessEqual(taken, 0.2 * calls + 64)
+        self.assertGreater(taken, 0.08 * calls)
+
+    def test_time_alone_fills_up_to_the_reserve(self):
+        clock = 0.0
+        with mock.patch("caperstack.routing.budgets.now", lambda: clock):
+            budget = CallBudget(reserve=2.0, start=0.0, per_second=0.5)
+            self.assertFalse(budget.withdraw())
+            clock = 100.0
+            self.assertEqual([budget.withdraw() for _ in range(3)], [True, True, False])
+
+
+class TestHedgeDelay(unittest.TestCase):
+    """`ServiceState.hedge_delay` with a route that takes 0.2 s."""
+
+    def setUp(self):
+        self.enterContext(mock.patch("caperstack.routing.service.now", lambda: 100.0))
+        self.state = ServiceState("load_aware", CallBudget())
+        for _ in range(20):
+            self.state.take_time(0.2, "route")
+
+    def delay(self, objective):
+        call = Call(0, "h", "r", "s", "GET", "/", [], b"", 110.0, True, route="route")
+        call.objective_at = 100.0 + objective
+        return self.state.hedge_delay(call)
+
+    def test_second_attempt_can_just_be_in_time(self):
+        self.assertAlmostEqual(self.delay(0.6), 0.6 - 1.15 * 0.2)
+
+    def test_not_before_nine_in_ten_have_ended(self):
+        self.assertAlmostEqual(self.delay(0.4), 2.5 * 0.2)
+
+    def test_attempts_are_shared_by_hedges_and_repeats(self):
+        attempts = Attempts(2)
+        self.assertEqual([attempts.take() for _ in range(3)], [True, True, False])
+        attempts.give_back()
+        self.assertTrue(attempts.take())
