An owner holds a call that may move for a quarter of a usual time

Cause: traced from the log of a refused booking: it waited 394 ms at an owner as a call that may move, was refused there, waited 383 ms more at the same owner as its last resort, and was refused with 365 ms left. Change: the patience of a call that may move is a quarter of a usual time in place of a whole one, so it asks who can run it about now and then waits where it will be soonest.

--- a/caperstack/routing/dispatch.py
+++ b/caperstack/routing/dispatch.py
@@ -16,7 +16,7 @@
 
 #: How long an owner may hold a call before it is better moved on, in usual
 #: service times; the last try may wait until its deadline.
-PATIENCE = 1.0
+PATIENCE = 0.25
 
 #: Answers that an idempotent call may try to better at another server.
 REPEATABLE_STATUSES = frozenset((500, 502, 503, 504))
