Links of unlisted hosts end in peace; waits judged by the rate of starts; first readings may be old

Cause: a backend server that leaves loses its entry, and the entry closed its link under the calls that ran there: idempotent ones ended as unknown or were repeated. A short urgent call waited behind calls that were held. Change: a link is retired and closes when nothing is out on it; the wait is the longer of the estimate and what the starts of the last second give; a call that joins the queue may start at once; until the own host is listed the store is read with readings that may be old. A test with real nodes fails without the retiring.

--- a/caperstack/admission/owner.py
+++ b/caperstack/admission/owner.py
@@ -427,6 +427,8 @@
         if self._queue.full and not self._queue.evict_for(call, takes):
             return NotRun("queue is full", wait)
         waiter = self._queue.add(call, takes)
+        # Calls ahead of it may be held while a slot is free and it is short.
+        self._start_waiting()
         self._events.decision(
             "owner queues", call, waiting=len(self._queue), wait_ms=round(wait * 1000)
         )
@@ -469,7 +471,8 @@
         if self._running < self._limit.limit:
             return VISIT_SECONDS
         ahead = self._queue.ahead_of(call, takes) + 1 + max(0, self._running - self._limit.limit)
-        return ahead * self._times.recent * self._pace.usual / self._limit.limit
+        by_times = ahead * self._times.recent * self._pace.usual / self._limit.limit
+        return max(by_times, self._queue.wait_by_rate(call, takes))
 
     def _last_check(self, call):
         """Return the `NotRun` for a call that must not be dispatched any more."""
--- a/caperstack/peers/link.py
+++ b/caperstack/peers/link.py
@@ -69,6 +69,12 @@
         self._heard_at = 0.0
         self._awaits_pong = False
         self._failures = 0
+        self._retired = False
+
+    @property
+    def retired(self):
+        """Whether the link is to close, and has."""
+        return self._retired and (self._task is None or self._task.done())
 
     @property
     def usable(self):
@@ -84,6 +90,8 @@
 
     def touch(self):
         """Open the link if it is closed, and keep it open for a while."""
+        if self._retired:
+            return
         self._used_until = deadline_after(UNUSED_SECONDS)
         if self._task is None or self._task.done():
             self._task = asyncio.create_task(self._keep_open())
@@ -95,6 +103,20 @@
         """The peer was heard of: dial it now rather than after the next wait."""
         self._hurried.set()
 
+    def retire(self):
+        """The member is no longer listed: finish what is out, then close for good.
+
+        Notes
+        -----
+        Failure: a backend server leaves in peace, its entry is removed while
+        calls still run there, and the link is closed under them; their callers
+        hear that nobody knows whether they ran, though the answers come.
+        """
+        self._retired = True
+        self._used_until = 0.0
+        if not self._pending:
+            self.close()
+
     def close(self):
         """Close the link for good."""
         if self._task is not None:
@@ -275,6 +297,8 @@
             connection.abort()
         elif now() > self._used_until and not self._pending:
             connection.close()
+            if self._retired:
+                self.close()
         elif quiet >= (PING_SECONDS if self._pending else IDLE_PING_SECONDS):
             self._awaits_pong = True
             self._send_quietly(Ping(0, self._links.events.clock.tick()))
--- a/caperstack/peers/links.py
+++ b/caperstack/peers/links.py
@@ -17,6 +17,7 @@
         self._here = here
         self._security = security
         self._links = {}
+        self._retiring = []
         self._hooks = []
         self.incarnation = wall_microseconds()
 
@@ -32,15 +33,16 @@
     async def stop(self):
         """Close all links."""
         self._heart.cancel()
-        for link in self._links.values():
+        for link in (*self._links.values(), *self._retiring):
             link.close()
 
     async def _beat(self):
         # One task for all links: a timer for each took most of a link's cost.
         while True:
             await asyncio.sleep(PING_SECONDS)
-            for link in list(self._links.values()):
+            for link in (*self._links.values(), *self._retiring):
                 link.beat()
+            self._retiring = [link for link in self._retiring if not link.retired]
 
     def hello(self):
         """Return this node's hello."""
@@ -73,15 +75,19 @@
 
     def take(self, member, message, body):
         """Hand a message that is no reply to those who want it."""
-        connection = self._links[member.host].connection
+        link = self._links.get(member.host)
+        if link is None:
+            return
         for hook in self._hooks:
-            hook.take(member.host, connection, message, body)
+            hook.take(member.host, link.connection, message, body)
 
     def _on_member(self, member, gone):
         if member.host == self._here.host:
             member.owner = LocalOwner(self._owner)
             return
         if gone:
-            self._links.pop(member.host).close()
+            link = self._links.pop(member.host)
+            link.retire()
+            self._retiring.append(link)
             return
         member.owner = self._links[member.host] = Link(member, self)
--- a/caperstack/platform/fleet.py
+++ b/caperstack/platform/fleet.py
@@ -30,6 +30,11 @@
     async def stop(self):
         """Nothing to stop."""
 
+    @property
+    def registered(self):
+        """Whether the backend server beside this node has been listed."""
+        return self._registered
+
     @property
     def configuration(self):
         """The `caperstack.platform.items.Configuration` in force, or ``None``."""
--- a/caperstack/platform/reader.py
+++ b/caperstack/platform/reader.py
@@ -68,6 +68,7 @@
         """Read once, so that a starting node knows the fleet if it can, and go on."""
         self._settings = kernel.find("settings")
         self._sync = kernel.find("settings sync")
+        self._fleet = kernel.find("fleet")
         self._events = kernel.find("events")
         self._metrics = kernel.find("metrics")
         self._topology = Topology(self._here, kernel.find("members"))
@@ -93,7 +94,7 @@
             self._returning_until = deadline_after(RETURN_SECONDS)
 
     def _due(self):
-        if self._read_at is None:
+        if self._read_at is None or self._starting:
             return self._resume_at
         steps = min(self._topology.rank, STEPS_MOST)
         if now() < self._behind_until:
@@ -111,18 +112,36 @@
 
     async def _try_to_read(self):
         began = now()
+        stale = self._starting
         try:
-            await self._read()
+            await self._read(stale)
         except PlatformError as error:
             self._failed(error)
             return
         if self._failures:
             self._events.state("store", "unreadable", "readable", self._client.address)
         self._failures = 0
+        if stale:
+            # Others must not take it for a reading of the present state.
+            self._resume_at = deadline_after(READ_AFTER_SECONDS)
+            return
         self._note_gap(began)
         self._read_at = began
         self._sync.tell_read(began)
 
+    @property
+    def _starting(self):
+        """Whether this host is not in the list yet, so that no reader can know of it.
+
+        Notes
+        -----
+        Failure: all hosts start together, and until its backend server is
+        registered and seen, each node reads for itself: at 73 hosts 680 calls
+        before the first request.  Readings that may be old cost a tenth, and
+        nothing depends on them yet but whom to dial.
+        """
+        return self._read_at is not None and not self._fleet.registered
+
     def _failed(self, error):
         if not self._failures:
             self._events.state("store", "readable", str(error), self._client.address)
@@ -131,13 +150,13 @@
         self._resume_at = deadline_after(wait * random.uniform(0.7, 1.0))
         self._behind_until = deadline_after(STAND_DOWN_SECONDS)
 
-    async def _read(self):
+    async def _read(self, stale):
         if self._all_at_once:
-            reads = [await self._client.read(EVERYTHING)]
+            reads = [await self._client.read(EVERYTHING, stale)]
         else:
             reads = [
-                await self._client.read(CONFIGURATION_KEY),
-                await self._client.read(SERVERS_PREFIX),
+                await self._client.read(CONFIGURATION_KEY, stale),
+                await self._client.read(SERVERS_PREFIX, stale),
             ]
         self._take_configuration(reads[0])
         self._take_servers(reads[-1])
--- a/caperstack/platform/store.py
+++ b/caperstack/platform/store.py
@@ -87,9 +87,16 @@
         """Drop all calls."""
         self._client.close()
 
-    async def read(self, prefix):
+    async def read(self, prefix, stale=False):
         """Return the `StoreRead` of all items whose keys begin with `prefix`.
 
+        Parameters
+        ----------
+        prefix : str
+            Of the keys.
+        stale : bool
+            Whether what is told may be seconds old, at a tenth of the price.
+
         Raises
         ------
         PlatformError
@@ -99,7 +106,7 @@
         revision = None
         after = None
         for _ in range(PAGES_MOST):
-            page = await self._page(prefix, after)
+            page = await self._page(prefix, after, stale)
             revision = page.revision if revision is None else revision
             items += [_store_item(item) for item in page.items]
             if not page.more or not page.items:
@@ -107,8 +114,12 @@
             after = page.items[-1].key
         raise PlatformError("no end of pages", step="read", peer=self._address)
 
-    async def _page(self, prefix, after):
-        query = {"prefix": prefix} if after is None else {"prefix": prefix, "after": after}
+    async def _page(self, prefix, after, stale):
+        query = {"prefix": prefix}
+        if after is not None:
+            query["after"] = after
+        if stale:
+            query["staleOk"] = "1"
         body = await self._get(f"/v1/kv-range?{urlencode(query)}")
         try:
             return msgspec.json.decode(body, type=_Page)
--- a/caperstack/platform/tests/test_path.py
+++ b/caperstack/platform/tests/test_path.py
@@ -104,6 +104,25 @@
         self.fleet.withdraw(self.first)
         await self.until(self.leaves_alone(self.first), "no new work")
 
+    async def test_calls_end_in_peace_when_the_entry_is_gone(self):
+        # Both backend servers leave without a word: their entries vanish while
+        # listings run there.  The entry must not close its links under them.
+        for host in (self.first, self.second):
+            host.instance.conduct.seconds = 2.0
+        asked = [asyncio.create_task(self.fleet.ask(self.third, "/list/")) for _ in range(4)]
+
+        async def running():
+            return sum(host.instance.running for host in self.fleet.hosts) == 4
+
+        async def forgotten():
+            return await self.fleet.knows(self.third) == 1
+
+        await self.until(running, "listings run")
+        self.fleet.withdraw(self.first)
+        self.fleet.withdraw(self.second)
+        await self.until(forgotten, "the entry has forgotten both hosts")
+        self.assertEqual([reply.code for _, reply in await asyncio.gather(*asked)], [200] * 4)
+
     def leaves_alone(self, host):
         """Return a condition: ten calls in a row go elsewhere."""
 
