--- a/Makefile
+++ b/Makefile
@@ -5,14 +5,20 @@
 
 BENCHES = hop idle overload routing settings slopes transports
 
-.PHONY: demo serve test check format clean torture $(BENCHES:%=bench-%)
+.PHONY: demo serve demo-subtrees serve-subtrees test check format clean torture $(BENCHES:%=bench-%)
 
 TORTURE ?= --seconds 200 --seeds 1 2 3
 
 demo: $(READY)
-	$(RUN) -m caperstack.bench.demo
+	$(RUN) -m caperstack.platform.standin.demo
 
 serve: $(READY)
+	$(RUN) -m caperstack.platform.standin.demo --serve
+
+demo-subtrees: $(READY)
+	$(RUN) -m caperstack.bench.demo
+
+serve-subtrees: $(READY)
 	$(RUN) -m caperstack.bench.demo --serve
 
 test: $(READY)
--- a/caperstack/platform/__main__.py
+++ b/caperstack/platform/__main__.py
@@ -1,5 +1,6 @@
 """The node on the users' platform: ``python -m caperstack.platform``."""
 
+import argparse
 import asyncio
 import os
 import signal
@@ -13,6 +14,7 @@
 from caperstack.node.drain import DrainPlan, drain
 from caperstack.platform.assemble import assemble
 from caperstack.platform.boot import boot_path, read_boot
+from caperstack.platform.names import BOOT_VARIABLE
 
 __all__ = ["main"]
 
@@ -29,6 +31,23 @@
 OPEN_SECONDS = 2.6
 
 
+def _parser():
+    parser = argparse.ArgumentParser(
+        prog="python -m caperstack.platform",
+        description=(
+            "Run the load balancer's process beside one backend server of the platform, whose "
+            f"start settings lie where {BOOT_VARIABLE} says. SIGTERM drains it, SIGHUP makes it "
+            "read its settings again."
+        ),
+    )
+    parser.add_argument("--check", action="store_true", help="validate the settings and exit")
+    parser.add_argument(
+        "--metrics-port", type=int, help="port of the counters; by default the range's second"
+    )
+    parser.add_argument("--version", action="version", version=f"%(prog)s {__version__}")
+    return parser
+
+
 class _Reloader:
     """Reads the start settings again when they change."""
 
@@ -91,14 +110,18 @@
     log.line("stopped")
 
 
-def main():
-    """Run the node; return the exit status."""
+def main(arguments=None):
+    """Run the command line; return the exit status."""
+    options = _parser().parse_args(arguments)
     try:
         path = boot_path()
-        boot = read_boot(path)
+        boot = read_boot(path, options.metrics_port)
     except CaperstackError as error:
         print(f"caperstack: {error}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
+    if options.check:
+        print(f"{boot.name}: settings are good")
+        return 0
     asyncio.run(_serve(boot, path, LogWriter(STANDARD_OUTPUT, boot.here.host)))
     return 0
 
--- a/caperstack/platform/boot.py
+++ b/caperstack/platform/boot.py
@@ -99,9 +99,17 @@
         raise ConfigurationError("not set", step="environment", peer=BOOT_VARIABLE) from None
 
 
-def read_boot(path):
+def read_boot(path, metrics_port=None):
     """Return the `Boot` in the file at `path`.
 
+    Parameters
+    ----------
+    path : str
+        Of the start settings.
+    metrics_port : int, optional
+        Where the counters are shown; the second port of the host's range if
+        not given.
+
     Raises
     ------
     ConfigurationError
@@ -109,9 +117,12 @@
     """
     try:
         with open(path, "rb") as file:
-            return parse_boot(file.read())
+            boot = parse_boot(file.read())
     except OSError as error:
         raise ConfigurationError(str(error), step="start settings", peer=path) from None
+    if metrics_port is not None:
+        boot.here.operator_address = f"{boot.here.host}:{metrics_port}"
+    return boot
 
 
 def parse_boot(text):
--- /dev/null
+++ b/caperstack/platform/standin/demo.py
@@ -0,0 +1,154 @@
+"""A mesh of hosts on the platform's stand-ins: drive calls through trouble, or serve."""
+
+import argparse
+import asyncio
+import random
+import signal
+import sys
+from collections import Counter
+from dataclasses import dataclass
+
+from caperstack.clock import deadline_after, now
+from caperstack.platform.standin.fleet import PlatformFleet, route_row
+
+__all__ = ["main"]
+
+SERVICES = ("listings", "listings", "bookings", "bookings", "rates", "rates")
+ROUTES = (
+    route_row("/listings/", "listings"),
+    route_row("/bookings/", "bookings", "non_idempotent", priority=0, targetLatency="800ms"),
+    route_row("/rates/", "rates", targetLatency="300ms"),
+)
+WORK_SECONDS = {"listings": 0.12, "bookings": 0.15, "rates": 0.03}
+
+#: How often a neighbour takes or leaves a host, in seconds, how likely it has
+#: it, and how slow work is meanwhile.
+VISIT_SECONDS = 0.3
+VISIT_SHARE = 0.25
+VISIT_PACE = 4.0
+
+
+@dataclass(slots=True)
+class _Result:
+    path: str
+    name: str
+    code: int
+    seconds: float
+
+
+def _parser():
+    parser = argparse.ArgumentParser(prog="demo", description=__doc__)
+    parser.add_argument("--rate", type=float, default=40.0, help="calls a second")
+    parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--serve", action="store_true", help="leave it running, drive no calls")
+    return parser
+
+
+async def _neighbours(fleet, rng):
+    """Take and leave hosts for ever, as noisy neighbours do."""
+    while True:
+        for host in fleet.hosts:
+            host.instance.conduct.pace = VISIT_PACE if rng.random() < VISIT_SHARE else 1.0
+        await asyncio.sleep(VISIT_SECONDS)
+
+
+async def _trouble(fleet, seconds):
+    """Stop one node in peace, then let another host's backend server drain."""
+    await asyncio.sleep(seconds * 0.25)
+    stopped, leaving = fleet.hosts[0], fleet.hosts[3]
+    print(f"-- {stopped.ip}: SIGTERM")
+    stopped.node.signal(signal.SIGTERM)
+    await asyncio.sleep(seconds * 0.25)
+    print(f"-- {leaving.ip}: its backend server drains")
+    fleet.register(leaving, "draining")
+    return await stopped.node.ended()
+
+
+async def _call(fleet, host, path):
+    method = "POST" if path.startswith("/bookings") else "GET"
+    began = now()
+    name, reply = await fleet.ask(host, path, method)
+    return _Result(path, name, reply.code, now() - began)
+
+
+async def _drive(fleet, options, rng):
+    tasks = []
+    end = deadline_after(options.seconds)
+    while now() < end:
+        # Callers on the first host have gone elsewhere before it stops.
+        host = rng.choice(fleet.hosts[1:])
+        path = rng.choice(("/listings/a", "/listings/b", "/bookings/", "/rates/"))
+        tasks.append(asyncio.create_task(_call(fleet, host, path)))
+        await asyncio.sleep(rng.expovariate(options.rate))
+    return await asyncio.gather(*tasks)
+
+
+def _show(results):
+    print(f"\n{'path':14}{'calls':>6}{'p50 ms':>8}{'p99 ms':>8}  outcomes")
+    for path in sorted({result.path for result in results}):
+        own = [result for result in results if result.path == path]
+        times = sorted(result.seconds * 1000 for result in own)
+        codes = dict(Counter(result.code for result in own))
+        p99 = times[int(len(times) * 0.99)]
+        print(f"{path:14}{len(own):6}{times[len(times) // 2]:8.0f}{p99:8.0f}  {codes}")
+
+
+def _explain(fleet, result):
+    print(f"\nThe story of request {result.name}, from the nodes' logs:")
+    lines = [line for host in fleet.hosts for line in host.node.all_lines()]
+    for line in sorted(lines, key=lambda line: line["at_us"]):
+        if line.get("id") == result.name:
+            shown = {k: v for k, v in line.items() if k not in ("at_us", "id")}
+            print(f"  {shown.pop('host')} {shown.pop('kind')}: {shown}")
+
+
+async def _demo(fleet, options, rng):
+    trouble = asyncio.create_task(_trouble(fleet, options.seconds))
+    results = await _drive(fleet, options, rng)
+    status = await trouble
+    _show(results)
+    _explain(fleet, max(results, key=lambda result: result.seconds))
+    twice = [r for r in results if r.path == "/bookings/" and fleet.runs(r.name) > 1]
+    false = [r for r in results if r.code in (429, 503) and fleet.runs(r.name)]
+    print(f'\nBookings run twice: {len(twice)}; false "not run": {len(false)}')
+    print(f"The stopped node ended with status {status}; store calls: {fleet.store.calls}")
+    answered = sum(result.code == 200 for result in results)
+    return not twice and not false and status == 0 and answered > 0
+
+
+async def _serve(fleet):
+    first = fleet.hosts[0]
+    print("Running until interrupted. Try:")
+    for path in ("/listings/a", "/rates/", "/nowhere/"):
+        print(f"  curl -i -H 'Host: x.example' http://{first.outbound}{path}")
+    print(f"  curl -i http://{first.boot['listen']['ready']}/v1/ready")
+    print(f"  curl -s http://{fleet.metrics_address(first)}/metrics", flush=True)
+    await asyncio.Event().wait()
+
+
+async def _run(options):
+    rng = random.Random(options.seed)
+    async with PlatformFleet(list(SERVICES), list(ROUTES)) as fleet:
+        for host in fleet.hosts:
+            host.instance.conduct.seconds = WORK_SECONDS[host.instance.service]
+        visits = asyncio.create_task(_neighbours(fleet, rng))
+        try:
+            if options.serve:
+                await _serve(fleet)
+            return 0 if await _demo(fleet, options, rng) else 1
+        finally:
+            visits.cancel()
+
+
+def main(arguments=None):
+    """Run the command line; return the exit status."""
+    options = _parser().parse_args(arguments)
+    try:
+        return asyncio.run(_run(options))
+    except KeyboardInterrupt:
+        return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/caperstack/platform/standin/fleet.py
+++ b/caperstack/platform/standin/fleet.py
@@ -74,10 +74,13 @@
                 env=os.environ | {BOOT_VARIABLE: str(self.boot_path)},
             )
 
+    def all_lines(self):
+        """Return all log lines, decoded."""
+        return [json.loads(line) for line in self.output.splitlines() if line[:1] == "{"]
+
     def lines(self, kind):
         """Return the log lines of that kind, decoded."""
-        decoded = [json.loads(line) for line in self.output.splitlines() if line[:1] == "{"]
-        return [line for line in decoded if line["kind"] == kind]
+        return [line for line in self.all_lines() if line["kind"] == kind]
 
 
 @dataclass
@@ -222,8 +225,12 @@
 
     async def knows(self, host):
         """Return how many hosts the node knows."""
-        address = f"{host.ip}:{self._ports['metrics']}"
-        return len(json.loads((await request(address, "GET", "/members")).body)["members"])
+        reply = await request(self.metrics_address(host), "GET", "/members")
+        return len(json.loads(reply.body)["members"])
+
+    def metrics_address(self, host):
+        """Return where the node of `host` shows its counters."""
+        return f"{host.ip}:{self._ports['metrics']}"
 
     async def until(self, condition, what, seconds=30.0):
         """Wait until ``await condition()`` is true."""
--- a/caperstack/platform/tests/test_decoding.py
+++ b/caperstack/platform/tests/test_decoding.py
@@ -1,16 +1,22 @@
 """Start settings, configuration and entries: decoded whole, or refused by name."""
 
+import contextlib
+import io
 import json
+import os
+import tempfile
 import unittest
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies as st
 
 from caperstack.exception import ConfigurationError
+from caperstack.platform.__main__ import main
 from caperstack.platform.boot import parse_boot
 from caperstack.platform.durations import seconds_of
 from caperstack.platform.items import StoreCodec, server_document
-from caperstack.platform.names import CONFIGURATION_KEY
+from caperstack.platform.names import BOOT_VARIABLE, CONFIGURATION_KEY
 from caperstack.platform.standin.fleet import PlatformFleet, route_row
 
 FLEET = PlatformFleet(["slots"], [])
@@ -55,6 +61,20 @@
         self.assertEqual((boot.allowance.share, boot.allowance.floor), (0.2, 64.0))
         self.assertLess(boot.drain_until_seconds, 6.0)
 
+    def test_command_line_checks_settings_and_names_the_bad_field(self):
+        for document, status, said in ((BOOT, 0, "good"), (BOOT | {"zone": 5}, 2, "zone")):
+            with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+                file.write(json.dumps(document))
+                file.flush()
+                out = io.StringIO()
+                with (
+                    mock.patch.dict(os.environ, {BOOT_VARIABLE: file.name}),
+                    contextlib.redirect_stdout(out),
+                    contextlib.redirect_stderr(out),
+                ):
+                    self.assertEqual(main(["--check"]), status)
+            self.assertIn(said, out.getvalue())
+
     def test_unknown_fields_are_ignored(self):
         self.assertEqual(parse_boot(json.dumps(BOOT | {"new": 1})).name, BOOT["nodeName"])
 
--- a/caperstack/standin/backend.py
+++ b/caperstack/standin/backend.py
@@ -8,7 +8,6 @@
 from collections import Counter
 from dataclasses import dataclass, fields
 
-import pycurl
 from tornado.httpclient import AsyncHTTPClient, HTTPError
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, ResponseStartLine
@@ -250,7 +249,7 @@
         client = AsyncHTTPClient(max_clients=MAX_DEEPER)
         try:
             await client.fetch(url, headers=headers, request_timeout=max(0.001, left / 1000))
-        except (HTTPError, OSError, pycurl.error):
+        except (HTTPError, OSError):
             return False
         return True
 
