An owner tells calls of different entries apart in its service times too

Cause: nodes number calls from the microsecond of their start; two that start in the same one use the same numbers. The owner's records were kept by entry and number, its service times by number alone: the second of two such calls to end failed with KeyError, and its caller was told 'unknown' of an answered call. Change: service times go by entry and number. The test fails without it.

--- a/caperstack/admission/limit.py
+++ b/caperstack/admission/limit.py
@@ -129,13 +129,13 @@
         average = self._routes.get(route)
         return average.value if average and average.count >= ROUTE_ANSWERS else 0.0
 
-    def begin(self, number, pace=1.0, route=""):
-        """Note that call `number` starts now, when work takes `pace` times the usual."""
-        self._started[number] = (now(), pace, route)
+    def begin(self, key, pace=1.0, route=""):
+        """Note that the call of that key starts now, when work takes `pace` times the usual."""
+        self._started[key] = (now(), pace, route)
 
-    def end(self, number, counts=True):
-        """Note that call `number` ended; with `counts` its time is a sample."""
-        start, pace, route = self._started.pop(number)
+    def end(self, key, counts=True):
+        """Note that the call of that key ended; with `counts` its time is a sample."""
+        start, pace, route = self._started.pop(key)
         elapsed = (now() - start) / pace
         if not counts:
             return
--- a/caperstack/admission/owner.py
+++ b/caperstack/admission/owner.py
@@ -486,7 +486,7 @@
         return None
 
     async def _dispatch(self, call):
-        self._times.begin(call.id, self._pace.value, call.route)
+        self._times.begin((call.origin, call.id), self._pace.value, call.route)
         call.notes.append((now(), "dispatched"))
         self._events.decision(
             "owner sends",
@@ -514,7 +514,7 @@
             self._failures.add(True)
             return self._failure(call, error)
         finally:
-            self._times.end(call.id, counts)
+            self._times.end((call.origin, call.id), counts)
 
     def _failure(self, call, error):
         self._metrics.backend_failed(error.message)
--- a/caperstack/admission/tests/test_owner.py
+++ b/caperstack/admission/tests/test_owner.py
@@ -154,6 +154,25 @@
         self.client.answer(1)
         self.assertEqual(await task, GOOD)
 
+    async def test_two_entries_may_number_their_calls_alike(self):
+        # Two nodes start in the same microsecond and number their calls from
+        # the same point.  Both calls run here at once; when the second ended,
+        # the owner failed on the first one's time and told "unknown" of a
+        # booking that was answered.
+        async def fetch(call, instance=""):
+            await asyncio.sleep(0.01)
+            return GOOD
+
+        self.client.fetch = fetch
+        calls = [
+            Call(7, origin, "r", "s", "POST", "/", [], b"", deadline_after(5), False, last=True)
+            for origin in ("n", "m")
+        ]
+        for call in calls:
+            call.queue_until = call.deadline
+        outcomes = await asyncio.gather(*(self.owner.run(call) for call in calls))
+        self.assertEqual(outcomes, [GOOD, GOOD])
+
     async def test_late_or_held_calls_are_not_dispatched(self):
         self.assertIsInstance(await self.begin(1, seconds=-0.1), NotRun)
         self.paused = True
