The owner's memory of calls and the standing of its backend server in modules of their own

Change: admission.memory keeps the records, admission.standing the state, the instance and the service; no behaviour changes, tests keep their assertions.

--- /dev/null
+++ b/caperstack/admission/memory.py
@@ -0,0 +1,109 @@
+"""What an owner remembers of calls, so that it can say truthfully how they ended."""
+
+import asyncio
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from caperstack.calls.model import Answered, NotRun, Unknown
+from caperstack.clock import deadline_after, now
+
+__all__ = ["CallMemory", "Record"]
+
+#: For how long beyond its deadline, and how many, ended or revoked calls are
+#: remembered, so that a revocation that comes late is answered truthfully.  An
+#: entry asks until the deadline of its call and no longer.
+MEMORY_SECONDS = 5.0
+MEMORY_CALLS = 20_000
+
+#: How long a revocation is remembered whose call has not come, in seconds:
+#: longer than a message lies in the buffers of a connection.
+REVOKED_SECONDS = 30.0
+
+#: How far two hosts' measures of one span of time may differ, in seconds.
+MARGIN_SECONDS = 0.05
+
+#: Answers up to this size are kept for an entry that lost its connection.
+KEPT_ANSWER_BYTES = 64 * 1024
+
+#: All answers kept together, in bytes.
+KEPT_BYTES_MOST = 16 * 1024 * 1024
+
+
+@dataclass(slots=True)
+class Record:
+    """One call: whether it went to the backend server, and how it ended."""
+
+    arrived_at: float
+    forget_at: float
+    outcome: asyncio.Future
+    dispatched: bool = False
+    task: asyncio.Task = None
+    kept_bytes: int = 0
+
+
+class CallMemory:
+    """Records of calls by entry and number, bounded in time, count and bytes."""
+
+    def __init__(self):
+        self._records = OrderedDict()
+        self._kept_bytes = 0
+        self._since = now()
+
+    def find(self, origin, number):
+        """Return the `Record` of call `number` of host `origin`, or ``None``."""
+        return self._records.get((origin, number))
+
+    def begin(self, call):
+        """Return the new `Record` of `call`, which runs in the current task."""
+        record = self._add((call.origin, call.id), call.deadline + MEMORY_SECONDS)
+        record.task = asyncio.current_task()
+        return record
+
+    def revoke(self, origin, number):
+        """Return the `Record` of a call that has not come and must not run when it does."""
+        record = self._add((origin, number), deadline_after(REVOKED_SECONDS))
+        record.outcome.set_result(NotRun("revoked before it arrived", 0.0))
+        return record
+
+    def reaches_back_to(self, sent_at):
+        """Return whether a call that was sent at `sent_at` would still be remembered."""
+        return sent_at > self._since + MARGIN_SECONDS
+
+    def settle(self, call, record, outcome):
+        """Note how `call` ended, and keep its answer if it is worth that."""
+        if record.outcome.done():
+            return
+        record.task = None
+        if isinstance(outcome, Answered) and not self._keeps(call, record, outcome):
+            outcome = Unknown("ran, but its answer is no longer held")
+        record.outcome.set_result(outcome)
+
+    def _add(self, key, forget_at):
+        self._forget_old()
+        outcome = asyncio.get_running_loop().create_future()
+        record = self._records[key] = Record(now(), forget_at, outcome)
+        return record
+
+    def _forget_old(self):
+        moment = now()
+        while self._records:
+            key, record = next(iter(self._records.items()))
+            if not record.outcome.done():
+                self._records.move_to_end(key)
+                return
+            if record.forget_at > moment and len(self._records) < MEMORY_CALLS:
+                return
+            self._since = max(self._since, record.arrived_at)
+            del self._records[key]
+            self._kept_bytes -= record.kept_bytes
+
+    def _keeps(self, call, record, answer):
+        """Return whether `answer` is worth its memory; only bookings are asked after."""
+        size = len(answer.body)
+        if call.idempotent or size > KEPT_ANSWER_BYTES:
+            return False
+        if self._kept_bytes + size > KEPT_BYTES_MOST:
+            return False
+        record.kept_bytes = size
+        self._kept_bytes += size
+        return True
--- a/caperstack/admission/owner.py
+++ b/caperstack/admission/owner.py
@@ -2,22 +2,20 @@
 
 import asyncio
 import random
-from collections import OrderedDict
-from dataclasses import dataclass
 
 from caperstack.admission.limit import FailureShare, ServiceTimes, SlotLimit
+from caperstack.admission.memory import CallMemory
 from caperstack.admission.pace import HostPace
 from caperstack.admission.queue import AdmissionQueue
+from caperstack.admission.standing import ServerStanding
 from caperstack.calls.model import (
-    CLOSED_STATES,
     VISIT_SECONDS,
-    Answered,
     Load,
     NotRun,
     ServerState,
     Unknown,
 )
-from caperstack.clock import deadline_after, now, time_left
+from caperstack.clock import now, time_left
 from caperstack.exception import BackendError
 
 __all__ = ["Owner"]
@@ -43,38 +41,6 @@
 #: in practice is whether a call can still finish in time.
 QUEUE_PER_SLOT = 16
 
-#: For how long beyond its deadline, and how many, ended or revoked calls are
-#: remembered, so that a revocation that comes late is answered truthfully.  An
-#: entry asks until the deadline of its call and no longer.
-MEMORY_SECONDS = 5.0
-MEMORY_CALLS = 20_000
-
-#: How long a revocation is remembered whose call has not come, in seconds:
-#: longer than a message lies in the buffers of a connection.
-REVOKED_SECONDS = 30.0
-
-#: How far two hosts' measures of one span of time may differ, in seconds.
-MEMORY_MARGIN = 0.05
-
-#: Answers up to this size are kept for an entry that lost its connection.
-KEPT_ANSWER_BYTES = 64 * 1024
-
-#: All answers kept together, in bytes.
-KEPT_BYTES_MOST = 16 * 1024 * 1024
-
-#: How long an answered call shows that the backend server lives, in seconds.
-ANSWERING_SECONDS = 2.0
-
-
-@dataclass(slots=True)
-class _Record:
-    arrived_at: float
-    forget_at: float
-    outcome: asyncio.Future
-    dispatched: bool = False
-    task: asyncio.Task = None
-    kept_bytes: int = 0
-
 
 class Owner:
     """Admit, queue, run or refuse calls for the one backend server beside this node.
@@ -96,34 +62,31 @@
         self._times = ServiceTimes()
         self._limit = SlotLimit(self._used(settings.slots), self._times)
         self._queue = AdmissionQueue(settings.slots * QUEUE_PER_SLOT)
-        self._instance = ""
-        self._service = ""
+        self._standing = ServerStanding()
         self._pace = HostPace()
         self._listeners = []
         self._failures = FailureShare()
         self._published = 0
         self._running = 0
-        self._records = OrderedDict()
-        self._kept_bytes = 0
-        self._remembers_since = now()
+        self._memory = CallMemory()
         self._pauses = None
-        self._state = ServerState.WARM
-        self._health = ServerState.WARM
-        self._listed = True
-        self._answering_until = 0.0
-        self.node_leaves = False
         self._metrics = None
         self._events = None
 
     @property
     def state(self):
         """The `ServerState` that this owner tells everyone."""
-        return self._state
+        return self._standing.state
 
     @property
     def answering(self):
         """Whether the backend server has answered a call lately."""
-        return now() < self._answering_until
+        return self._standing.answering
+
+    @property
+    def node_leaves(self):
+        """Whether the node itself stops."""
+        return self._standing.node_leaves
 
     @property
     def idle(self):
@@ -133,7 +96,7 @@
     @property
     def instance(self):
         """The instance of the backend server that calls are meant for; empty for any."""
-        return self._instance
+        return self._standing.instance
 
     @property
     def load(self):
@@ -143,7 +106,7 @@
             len(self._queue),
             self._limit.limit,
             int(self._times.recent * self._pace.usual * 1e6),
-            self._state,
+            self._standing.state,
             self._failures.percent,
             self._published,
             round(self._pace.relative * 100),
@@ -161,30 +124,16 @@
 
     def leave(self):
         """The node itself stops: refuse new calls from now on, for good."""
-        self.node_leaves = True
+        self._standing.node_leaves = True
         self.set_state(ServerState.STOPPING)
 
     def set_listed(self, listed):
         """Note whether the platform lists the backend server as serving."""
-        self._listed = listed
-        self._combine()
+        self.set_state(self._standing.set_listed(listed))
 
     def set_health(self, state):
         """Note what the backend server's health path shows."""
-        self._health = state
-        self._combine()
-
-    def _combine(self):
-        """Tell the worse of what is listed and what health shows.
-
-        Notes
-        -----
-        Failure: a backend server that drains has a good health path for a
-        while, or for good; calls would go on to it after it said that it
-        leaves.  The list counts for that, health for whether it lives.
-        """
-        if not self.node_leaves:
-            self.set_state(self._health if self._listed else ServerState.LEAVING)
+        self.set_state(self._standing.set_health(state))
 
     def set_state(self, state):
         """Tell everyone `state` from now on; the `CLOSED_STATES` refuse new calls.
@@ -194,20 +143,21 @@
         bool
             Whether the state changed.
         """
-        if state == self._state:
+        old = self._standing.state
+        if not self._standing.set_state(state):
             return False
-        self._events.state("backend server", old=self._state, new=state)
-        self._state = state
-        if state in CLOSED_STATES:
+        self._events.state("backend server", old=old, new=state)
+        if self._standing.closed:
             self._queue.refuse_all("backend server is leaving")
         return True
 
     def assign(self, instance, service):
         """The backend server is this instance, of this service, from now on."""
-        if (instance, service) != (self._instance, self._service):
-            self._events.state("instance", old=self._instance, new=f"{instance} of {service}")
-            self._instance = instance
-            self._service = service
+        standing = self._standing
+        if (instance, service) != (standing.instance, standing.service):
+            self._events.state("instance", standing.instance, f"{instance} of {service}")
+            standing.instance = instance
+            standing.service = service
             self._pace.restart()
 
     def resize(self, slots):
@@ -253,11 +203,9 @@
         was revoked before it arrived meets the record of the revocation and
         is refused.
         """
-        record = self._records.get((call.origin, call.id))
-        if record is not None:
+        if self._memory.find(call.origin, call.id) is not None:
             return NotRun("revoked before it arrived", 0.0)
-        record = self._remember((call.origin, call.id), call.deadline + MEMORY_SECONDS)
-        record.task = asyncio.current_task()
+        record = self._memory.begin(call)
         outcome = None
         try:
             outcome = await self._admit_and_run(call, record, queued)
@@ -266,7 +214,7 @@
             self._events.state("fault", "none", f"{type(error).__name__}: {error}")
             outcome = _broken_off("internal error", record)
         finally:
-            self._settle(call, record, outcome or _broken_off("cancelled", record))
+            self._memory.settle(call, record, outcome or _broken_off("cancelled", record))
         return outcome
 
     async def revoke(self, origin, number, sent_at):
@@ -293,64 +241,23 @@
         a second time elsewhere.  An owner speaks only for calls that were sent
         since it remembers everything.
         """
-        record = self._records.get((origin, number))
-        if record is None and sent_at <= self._remembers_since + MEMORY_MARGIN:
+        record = self._memory.find(origin, number)
+        if record is None and not self._memory.reaches_back_to(sent_at):
             return Unknown("the owner does not remember that far back")
         if record is None:
-            record = self._remember((origin, number), deadline_after(REVOKED_SECONDS))
-            record.outcome.set_result(NotRun("revoked before it arrived", 0.0))
+            record = self._memory.revoke(origin, number)
         elif not record.dispatched and record.task is not None and not record.outcome.done():
             record.task.cancel()
         return await asyncio.shield(record.outcome)
 
     def abandon(self, origin, number):
         """Cancel call `number` of host `origin`; nobody waits for its answer."""
-        record = self._records.get((origin, number))
+        record = self._memory.find(origin, number)
         if record is None:
-            record = self._remember((origin, number), deadline_after(REVOKED_SECONDS))
-            record.outcome.set_result(NotRun("revoked before it arrived", 0.0))
+            self._memory.revoke(origin, number)
         elif record.task is not None and not record.outcome.done():
             record.task.cancel()
 
-    def _remember(self, key, forget_at):
-        self._forget_old()
-        outcome = asyncio.get_running_loop().create_future()
-        record = _Record(now(), forget_at, outcome)
-        self._records[key] = record
-        return record
-
-    def _forget_old(self):
-        moment = now()
-        while self._records:
-            key, record = next(iter(self._records.items()))
-            if not record.outcome.done():
-                self._records.move_to_end(key)
-                return
-            if record.forget_at > moment and len(self._records) < MEMORY_CALLS:
-                return
-            self._remembers_since = max(self._remembers_since, record.arrived_at)
-            del self._records[key]
-            self._kept_bytes -= record.kept_bytes
-
-    def _settle(self, call, record, outcome):
-        if record.outcome.done():
-            return
-        record.task = None
-        if isinstance(outcome, Answered) and not self._keeps(call, record, outcome):
-            outcome = Unknown("ran, but its answer is no longer held")
-        record.outcome.set_result(outcome)
-
-    def _keeps(self, call, record, answer):
-        """Return whether `answer` is worth its memory; only bookings are asked after."""
-        size = len(answer.body)
-        if call.idempotent or size > KEPT_ANSWER_BYTES:
-            return False
-        if self._kept_bytes + size > KEPT_BYTES_MOST:
-            return False
-        record.kept_bytes = size
-        self._kept_bytes += size
-        return True
-
     async def _admit_and_run(self, call, record, queued):
         refusal = await self._admit(call, queued)
         if refusal is not None:
@@ -380,9 +287,9 @@
 
     async def _admit(self, call, queued):
         """Take a slot and return ``None``, or return the `NotRun` that refuses."""
-        if self._state in CLOSED_STATES:
+        if self._standing.closed:
             return NotRun("backend server is leaving", 0.0)
-        if self._service and call.service != self._service:
+        if self._standing.service not in ("", call.service):
             # An address is used again: the entry's list is older than ours.
             return NotRun("backend server is of another service", 0.0)
         refusal = self._last_check(call)
@@ -491,7 +398,7 @@
         self._events.decision(
             "owner sends",
             call,
-            instance=self._instance,
+            instance=self._standing.instance,
             running=self._running,
             limit=self._limit.limit,
             pace=round(self._pace.value, 2),
@@ -499,12 +406,12 @@
         counts = False
         begun = now()
         try:
-            answer = await self._client.fetch(call, self._instance)
+            answer = await self._client.fetch(call, self._standing.instance)
             if isinstance(answer, NotRun):
                 return answer
             counts = answer.status < 500 or answer.status == GATEWAY_TIMEOUT
             self._metrics.time("backend_seconds", now() - begun, call.service)
-            self._answering_until = deadline_after(ANSWERING_SECONDS)
+            self._standing.note_answer()
             self._failures.add(answer.status >= 500)
             return answer
         except BackendError as error:
--- /dev/null
+++ b/caperstack/admission/standing.py
@@ -0,0 +1,76 @@
+"""Whether a backend server takes calls: by its list entry, its health and its answers."""
+
+from caperstack.calls.model import CLOSED_STATES, ServerState
+from caperstack.clock import deadline_after, now
+
+__all__ = ["ServerStanding"]
+
+#: How long an answered call shows that the backend server lives, in seconds.
+ANSWERING_SECONDS = 2.0
+
+
+class ServerStanding:
+    """The state of one backend server and the instance that it is.
+
+    Attributes
+    ----------
+    node_leaves : bool
+        The node itself stops, for good.
+    """
+
+    def __init__(self):
+        self._state = ServerState.WARM
+        self._health = ServerState.WARM
+        self._listed = True
+        self._answering_until = 0.0
+        self.instance = ""
+        self.service = ""
+        self.node_leaves = False
+
+    @property
+    def state(self):
+        """The `ServerState` that everyone is told."""
+        return self._state
+
+    @property
+    def closed(self):
+        """Whether no new call may go to the backend server."""
+        return self._state in CLOSED_STATES
+
+    @property
+    def answering(self):
+        """Whether the backend server has answered a call lately."""
+        return now() < self._answering_until
+
+    def note_answer(self):
+        """The backend server has answered a call."""
+        self._answering_until = deadline_after(ANSWERING_SECONDS)
+
+    def set_state(self, state):
+        """Tell `state` from now on; return whether it is another one."""
+        changed = state != self._state
+        self._state = state
+        return changed
+
+    def set_listed(self, listed):
+        """Note whether the platform lists the server as serving; return the state that follows."""
+        self._listed = listed
+        return self._worse()
+
+    def set_health(self, state):
+        """Note what the health path shows; return the state that follows."""
+        self._health = state
+        return self._worse()
+
+    def _worse(self):
+        """Return the worse of what is listed and what health shows.
+
+        Notes
+        -----
+        Failure: a backend server that drains has a good health path for a
+        while, or for good; calls would go on to it after it said that it
+        leaves.  The list counts for that, health for whether it lives.
+        """
+        if self.node_leaves:
+            return self._state
+        return self._health if self._listed else ServerState.LEAVING
--- a/caperstack/admission/tests/test_owner.py
+++ b/caperstack/admission/tests/test_owner.py
@@ -136,7 +136,7 @@
     async def test_owner_does_not_speak_for_what_it_forgot(self):
         # A booking ran, its answer was lost, and the record was dropped to
         # make room before the entry could ask.
-        with mock.patch("caperstack.admission.owner.MEMORY_CALLS", 3):
+        with mock.patch("caperstack.admission.memory.MEMORY_CALLS", 3):
             sent = deadline_after(0.06)
             await asyncio.sleep(0.1)
             for number in range(1, 8):
