Slots and their queue in a module of their own; tests of the queue's order and rate

Change: admission.gate holds slots, queue, holding and waiting; the owner keeps what it decides and tells. No behaviour changes; five tests of the queue.

--- /dev/null
+++ b/caperstack/admission/gate.py
@@ -0,0 +1,180 @@
+"""The slots of one backend server: who gets one now, who waits, who is refused."""
+
+import asyncio
+import random
+
+from caperstack.admission.limit import SlotLimit
+from caperstack.admission.queue import AdmissionQueue
+from caperstack.calls.model import VISIT_SECONDS, NotRun
+from caperstack.clock import now
+
+__all__ = ["SlotGate"]
+
+#: How long a call that can no longer be in time waits for a lull, in seconds.
+#: In a lasting overload there is none; its caller is better off with a refusal
+#: now and a later try than with one when its time is over.
+LATE_WAIT_SECONDS = 0.4
+
+#: Callers who are told to come back do so spread over this share of the wait,
+#: or they would all return at the same moment.
+RETURN_SPREAD = 0.5
+
+#: Waiting calls per slot that bound the queue's memory; what limits its length
+#: in practice is whether a call can still finish in time.
+QUEUE_PER_SLOT = 16
+
+
+class SlotGate:
+    """Give out the slots of one backend server, at once, in order, or not at all.
+
+    Parameters
+    ----------
+    slots : int
+        The backend server's slots.
+    share : float
+        Calls at once, as a share of the slots.
+    times : caperstack.admission.limit.ServiceTimes
+        How long calls take.
+    pace : caperstack.admission.pace.HostPace
+        How long work takes on the host now.
+    """
+
+    def __init__(self, slots, share, times, pace):
+        self._share = share
+        self._times = times
+        self._pace = pace
+        self._limit = SlotLimit(self._used(slots), times)
+        self._queue = AdmissionQueue(slots * QUEUE_PER_SLOT)
+        self._running = 0
+
+    @property
+    def running(self):
+        """Calls that hold a slot."""
+        return self._running
+
+    @property
+    def waiting(self):
+        """Calls that wait for one."""
+        return len(self._queue)
+
+    @property
+    def limit(self):
+        """Calls that may hold a slot at once now."""
+        return self._limit.limit
+
+    def _used(self, slots):
+        return max(1, round(slots * self._share))
+
+    def resize(self, slots):
+        """The backend server has so many slots from now on."""
+        self._limit.resize(self._used(slots))
+        self._queue.resize(slots * QUEUE_PER_SLOT)
+
+    def start_cold(self):
+        """The backend server has just started: begin with few slots."""
+        self._limit.start_cold()
+
+    def refuse_all(self, reason):
+        """Refuse every waiting call."""
+        self._queue.refuse_all(reason)
+
+    async def admit(self, call, on_wait):
+        """Take a slot for `call` and return ``None``, or return the `NotRun` that refuses.
+
+        Parameters
+        ----------
+        call : caperstack.calls.model.Call
+            The call.
+        on_wait : callable
+            Called with the expected wait in seconds, if the call has to wait.
+        """
+        self._limit.adjust()
+        if self._running < self._limit.limit and not len(self._queue) and not self._holds(call):
+            self._running += 1
+            return None
+        return await self._wait_for_slot(call, on_wait)
+
+    def _holds(self, call):
+        """Return whether `call` is better started once the host is quick again.
+
+        Notes
+        -----
+        Which load it answers: a neighbour takes the host for some hundred
+        milliseconds, again and again.  Work that starts then needs several
+        times as long to its end, also after the neighbour has gone (measured:
+        220 ms become 870 at a pace of 4), and its slot is lost for others.
+        Waiting costs what is left of the neighbour's visit.  Work so short
+        that the wait would be longer starts at once.
+        """
+        if not self._pace.slowed:
+            return False
+        return (self._pace.relative - 1) * self._takes(call) > VISIT_SECONDS
+
+    def _takes(self, call):
+        """Return how long `call` takes on this host as a rule, in seconds."""
+        return self._times.route_usual(call.route) * self._pace.usual
+
+    async def _wait_for_slot(self, call, on_wait):
+        takes = self._takes(call)
+        wait = self._expected_wait(call, takes)
+        last_start = self._last_start(call, takes)
+        if now() + wait > last_start:
+            return NotRun("no slot in time", self._return_after(wait))
+        if self._queue.full and not self._queue.evict_for(call, takes):
+            return NotRun("queue is full", wait)
+        waiter = self._queue.add(call, takes)
+        # Calls ahead of it may be held while a slot is free and it is short.
+        self.start_waiting()
+        on_wait(wait)
+        try:
+            async with asyncio.timeout_at(last_start):
+                reason = await waiter.admitted
+        except TimeoutError:
+            return self._give_up(waiter)
+        except asyncio.CancelledError:
+            self._return_slot(waiter)
+            raise
+        return NotRun(reason, wait) if reason else None
+
+    def _last_start(self, call, takes):
+        """Return the point until which `call` waits for a slot."""
+        in_time_until = (call.objective_at or call.deadline) - takes
+        lull_until = max(in_time_until, now()) + LATE_WAIT_SECONDS
+        return min(call.queue_until, call.deadline - takes, lull_until)
+
+    def _return_after(self, wait):
+        return wait * random.uniform(1.0, 1.0 + RETURN_SPREAD)
+
+    def _give_up(self, waiter):
+        self._return_slot(waiter)
+        return NotRun("no slot in time", self._return_after(self._times.usual))
+
+    def _return_slot(self, waiter):
+        # The slot may have been given in the same turn of the loop in which
+        # the wait ended: it would be lost for good if nobody handed it on.
+        if waiter.admitted.done() and not waiter.admitted.cancelled():
+            if waiter.admitted.result() == "":
+                self.release()
+        else:
+            waiter.admitted.cancel()
+
+    def _expected_wait(self, call, takes):
+        if self._running < self._limit.limit:
+            return VISIT_SECONDS
+        ahead = self._queue.ahead_of(call, takes) + 1 + max(0, self._running - self._limit.limit)
+        by_times = ahead * self._times.recent * self._pace.usual / self._limit.limit
+        return max(by_times, self._queue.wait_by_rate(call, takes))
+
+    def release(self):
+        """Give a slot back."""
+        self._running -= 1
+        self.start_waiting()
+
+    def start_waiting(self):
+        """Start the calls that may start now: a slot is free, or the host is quick again."""
+        self._limit.adjust()
+        while self._running < self._limit.limit:
+            call = self._queue.admit_next(self._holds)
+            if call is None:
+                return
+            self._running += 1
--- a/caperstack/admission/owner.py
+++ b/caperstack/admission/owner.py
@@ -1,15 +1,13 @@
 """The owner: the exact decision beside the backend server."""
 
 import asyncio
-import random
 
-from caperstack.admission.limit import FailureShare, ServiceTimes, SlotLimit
+from caperstack.admission.gate import SlotGate
+from caperstack.admission.limit import FailureShare, ServiceTimes
 from caperstack.admission.memory import CallMemory
 from caperstack.admission.pace import HostPace
-from caperstack.admission.queue import AdmissionQueue
 from caperstack.admission.standing import ServerStanding
 from caperstack.calls.model import (
-    VISIT_SECONDS,
     Load,
     NotRun,
     ServerState,
@@ -28,19 +26,6 @@
 #: their time left.
 SHORTEST_SHARE = 0.5
 
-#: How long a call that can no longer be in time waits for a lull, in seconds.
-#: In a lasting overload there is none; its caller is better off with a refusal
-#: now and a later try than with one when its time is over.
-LATE_WAIT_SECONDS = 0.4
-
-#: Callers who are told to come back do so spread over this share of the wait,
-#: or they would all return at the same moment.
-RETURN_SPREAD = 0.5
-
-#: Waiting calls per slot that bound the queue's memory; what limits its length
-#: in practice is whether a call can still finish in time.
-QUEUE_PER_SLOT = 16
-
 
 class Owner:
     """Admit, queue, run or refuse calls for the one backend server beside this node.
@@ -57,17 +42,14 @@
     """
 
     def __init__(self, settings, client):
-        self._slots_share = settings.slots_share
         self._client = client
         self._times = ServiceTimes()
-        self._limit = SlotLimit(self._used(settings.slots), self._times)
-        self._queue = AdmissionQueue(settings.slots * QUEUE_PER_SLOT)
-        self._standing = ServerStanding()
         self._pace = HostPace()
+        self._gate = SlotGate(settings.slots, settings.slots_share, self._times, self._pace)
+        self._standing = ServerStanding()
         self._listeners = []
         self._failures = FailureShare()
         self._published = 0
-        self._running = 0
         self._memory = CallMemory()
         self._pauses = None
         self._metrics = None
@@ -91,7 +73,7 @@
     @property
     def idle(self):
         """Whether no call runs or waits."""
-        return self._running == 0 and len(self._queue) == 0
+        return self._gate.running == 0 and self._gate.waiting == 0
 
     @property
     def instance(self):
@@ -102,9 +84,9 @@
     def load(self):
         """The exact `Load` now."""
         return Load(
-            self._running,
-            len(self._queue),
-            self._limit.limit,
+            self._gate.running,
+            self._gate.waiting,
+            self._gate.limit,
             int(self._times.recent * self._pace.usual * 1e6),
             self._standing.state,
             self._failures.percent,
@@ -120,7 +102,7 @@
 
     async def stop(self):
         """Stop; waiting calls are refused, running ones have ended before."""
-        self._queue.refuse_all("node stops")
+        self._gate.refuse_all("node stops")
 
     def leave(self):
         """The node itself stops: refuse new calls from now on, for good."""
@@ -148,7 +130,7 @@
             return False
         self._events.state("backend server", old=old, new=state)
         if self._standing.closed:
-            self._queue.refuse_all("backend server is leaving")
+            self._gate.refuse_all("backend server is leaving")
         return True
 
     def assign(self, instance, service):
@@ -162,11 +144,7 @@
 
     def resize(self, slots):
         """The backend server has so many slots from now on."""
-        self._limit.resize(self._used(slots))
-        self._queue.resize(slots * QUEUE_PER_SLOT)
-
-    def _used(self, slots):
-        return max(1, round(slots * self._slots_share))
+        self._gate.resize(slots)
 
     def listen(self, listener):
         """Call ``listener()`` when the pace has changed by enough to tell peers."""
@@ -177,7 +155,7 @@
         if self._pace.read(pace):
             for listener in self._listeners:
                 listener()
-            self._start_waiting()
+            self._gate.start_waiting()
 
     def set_published(self, in_flight):
         """Note what the backend server's load endpoint gave."""
@@ -185,7 +163,7 @@
 
     def start_cold(self):
         """The backend server has just started: begin with few slots."""
-        self._limit.start_cold()
+        self._gate.start_cold()
 
     async def run(self, call, queued=None):
         """Run `call` or refuse it; return its `Outcome`.
@@ -271,7 +249,7 @@
             record.dispatched = True
             return await self._dispatch(call)
         finally:
-            self._release()
+            self._gate.release()
 
     def _refused(self, call, refusal):
         self._metrics.refused(refusal.reason)
@@ -279,9 +257,9 @@
             "owner refuses",
             call,
             reason=refusal.reason,
-            running=self._running,
-            limit=self._limit.limit,
-            waiting=len(self._queue),
+            running=self._gate.running,
+            limit=self._gate.limit,
+            waiting=self._gate.waiting,
             pace=round(self._pace.value, 2),
         )
 
@@ -299,87 +277,15 @@
             return NotRun("backend server fails", 0.1)
         if not call.last and self._pace.slowed:
             return NotRun("host is slowed at this moment", 0.1)
-        self._limit.adjust()
-        if self._running < self._limit.limit and not len(self._queue) and not self._holds(call):
-            self._running += 1
-            return None
-        return await self._wait_for_slot(call, queued)
+        return await self._gate.admit(call, lambda wait: self._note_wait(call, wait, queued))
 
-    def _holds(self, call):
-        """Return whether `call` is better started once the host is quick again.
-
-        Notes
-        -----
-        Which load it answers: a neighbour takes the host for some hundred
-        milliseconds, again and again.  Work that starts then needs several
-        times as long to its end, also after the neighbour has gone (measured:
-        220 ms become 870 at a pace of 4), and its slot is lost for others.
-        Waiting costs what is left of the neighbour's visit.  Work so short
-        that the wait would be longer starts at once.
-        """
-        if not self._pace.slowed:
-            return False
-        return (self._pace.relative - 1) * self._takes(call) > VISIT_SECONDS
-
-    def _takes(self, call):
-        """Return how long `call` takes on this host as a rule, in seconds."""
-        return self._times.route_usual(call.route) * self._pace.usual
-
-    async def _wait_for_slot(self, call, queued):
-        takes = self._takes(call)
-        wait = self._expected_wait(call, takes)
-        last_start = self._last_start(call, takes)
-        if now() + wait > last_start:
-            return NotRun("no slot in time", self._return_after(wait))
-        if self._queue.full and not self._queue.evict_for(call, takes):
-            return NotRun("queue is full", wait)
-        waiter = self._queue.add(call, takes)
-        # Calls ahead of it may be held while a slot is free and it is short.
-        self._start_waiting()
+    def _note_wait(self, call, wait, queued):
+        call.notes.append((now(), "queued"))
         self._events.decision(
-            "owner queues", call, waiting=len(self._queue), wait_ms=round(wait * 1000)
+            "owner queues", call, waiting=self._gate.waiting, wait_ms=round(wait * 1000)
         )
-        call.notes.append((now(), "queued"))
         if queued is not None:
             queued()
-        try:
-            async with asyncio.timeout_at(last_start):
-                reason = await waiter.admitted
-        except TimeoutError:
-            return self._give_up(waiter)
-        except asyncio.CancelledError:
-            self._return_slot(waiter)
-            raise
-        return NotRun(reason, wait) if reason else None
-
-    def _last_start(self, call, takes):
-        """Return the point until which `call` waits for a slot."""
-        in_time_until = (call.objective_at or call.deadline) - takes
-        lull_until = max(in_time_until, now()) + LATE_WAIT_SECONDS
-        return min(call.queue_until, call.deadline - takes, lull_until)
-
-    def _return_after(self, wait):
-        return wait * random.uniform(1.0, 1.0 + RETURN_SPREAD)
-
-    def _give_up(self, waiter):
-        self._return_slot(waiter)
-        return NotRun("no slot in time", self._return_after(self._times.usual))
-
-    def _return_slot(self, waiter):
-        # The slot may have been given in the same turn of the loop in which
-        # the wait ended: it would be lost for good if nobody handed it on.
-        if waiter.admitted.done() and not waiter.admitted.cancelled():
-            if waiter.admitted.result() == "":
-                self._release()
-        else:
-            waiter.admitted.cancel()
-
-    def _expected_wait(self, call, takes):
-        if self._running < self._limit.limit:
-            return VISIT_SECONDS
-        ahead = self._queue.ahead_of(call, takes) + 1 + max(0, self._running - self._limit.limit)
-        by_times = ahead * self._times.recent * self._pace.usual / self._limit.limit
-        return max(by_times, self._queue.wait_by_rate(call, takes))
 
     def _last_check(self, call):
         """Return the `NotRun` for a call that must not be dispatched any more."""
@@ -399,8 +305,8 @@
             "owner sends",
             call,
             instance=self._standing.instance,
-            running=self._running,
-            limit=self._limit.limit,
+            running=self._gate.running,
+            limit=self._gate.limit,
             pace=round(self._pace.value, 2),
         )
         counts = False
@@ -430,18 +336,6 @@
         late = time_left(call.deadline) <= 0.002
         return Unknown(error.message, 504 if late else 502)
 
-    def _release(self):
-        self._running -= 1
-        self._start_waiting()
-
-    def _start_waiting(self):
-        self._limit.adjust()
-        while self._running < self._limit.limit:
-            call = self._queue.admit_next(self._holds)
-            if call is None:
-                return
-            self._running += 1
-
 
 def _broken_off(reason, record):
     return Unknown(reason) if record.dispatched else NotRun(reason, 0.0)
--- a/caperstack/admission/tests/test_owner.py
+++ b/caperstack/admission/tests/test_owner.py
@@ -285,7 +285,7 @@
     async def test_late_call_does_not_wait_out_its_deadline(self):
         # In a lasting overload a late call gets no slot.  It is told so soon,
         # not when its five seconds are over.
-        with mock.patch("caperstack.admission.owner.LATE_WAIT_SECONDS", 0.05):
+        with mock.patch("caperstack.admission.gate.LATE_WAIT_SECONDS", 0.05):
             tasks = [self.begin(1), self.begin(2)]
             await self.turn()
             began = now()
--- /dev/null
+++ b/caperstack/admission/tests/test_queue.py
@@ -0,0 +1,61 @@
+"""The owner's queue: its order, and how long a newcomer would wait."""
+
+import unittest
+from unittest import mock
+
+from caperstack.admission.queue import AdmissionQueue
+from caperstack.calls.model import Call
+
+
+class TestAdmissionQueue(unittest.IsolatedAsyncioTestCase):
+    """`AdmissionQueue` with a clock that the test moves."""
+
+    def setUp(self):
+        self.clock = 100.0
+        self.enterContext(mock.patch("caperstack.admission.queue.now", lambda: self.clock))
+        self.queue = AdmissionQueue(50)
+
+    def call(self, number, objective=0.6, criticality=1):
+        call = Call(number, "n", "r", "s", "GET", "/", [], b"", self.clock + 5, True)
+        call.criticality = criticality
+        call.objective_at = self.clock + objective
+        return call
+
+    async def test_order(self):
+        # In time before late, then critical, then urgent.
+        for number, objective, criticality in ((1, 0.1, 2), (2, 0.9, 1), (3, 0.6, 1), (4, 0.9, 2)):
+            self.queue.add(self.call(number, objective, criticality), takes=0.2)
+        started = [self.queue.admit_next().id for _ in range(4)]
+        self.assertEqual(started, [4, 3, 2, 1])
+
+    async def test_held_calls_let_others_pass(self):
+        self.queue.add(self.call(1))
+        self.queue.add(self.call(2))
+        self.assertEqual(self.queue.admit_next(lambda call: call.id == 1).id, 2)
+        self.assertIsNone(self.queue.admit_next(lambda call: call.id == 1))
+
+    async def test_wait_follows_the_starts_of_the_last_second(self):
+        # Ten calls a second are started for a second in a lasting overload; of
+        # these eight are more critical than the newcomer.  With five of its
+        # own kind ahead it would wait three seconds, not the half second that
+        # service times alone would give.
+        for number in range(5):
+            self.queue.add(self.call(number, 5.0))
+        for step in range(10):
+            self.clock += 0.1
+            criticality = 2 if step % 5 else 1
+            self.queue.add(self.call(100 + step, 0.1 if step % 5 else 0.05, criticality))
+            self.queue.admit_next()
+        self.assertAlmostEqual(self.queue.wait_by_rate(self.call(50, 9.0)), 3.0, delta=0.6)
+
+    async def test_nothing_is_known_of_a_short_queue(self):
+        self.queue.add(self.call(1))
+        self.clock += 0.2
+        self.assertEqual(self.queue.wait_by_rate(self.call(2)), 0.0)
+
+    async def test_full_queue_displaces_the_last(self):
+        queue = AdmissionQueue(1)
+        low = queue.add(self.call(1, criticality=0))
+        self.assertFalse(queue.evict_for(self.call(2, criticality=0)))
+        self.assertTrue(queue.evict_for(self.call(3, criticality=2)))
+        self.assertIn("displaced", low.admitted.result())
--- a/caperstack/platform/items.py
+++ b/caperstack/platform/items.py
@@ -16,8 +16,9 @@
 DRAINING = {"ready": False, "draining": True}
 
 #: Health checks a second.  The pace of a host changes every 300 ms or so;
-#: checked each 80 ms it is known 40 ms late on average.  Between 6 and 40 a
-#: second the share of calls in time grew by 0.06, beyond 12 by 0.02 (trial).
+#: checked each 80 ms it is known 40 ms late on average.  On a calm day a plain
+#: forwarder earned 0.921 of all credit with 6.7 checks a second, 0.958 with
+#: 12.5 and 0.978 with 40 (one run each); a thousand checks cost 0.001.
 MEASURING_PER_SECOND = 12.0
 
 
