The fleet's allowance is shared out anew when members change

Cause: a node's part of the allowance was fixed when it first called a service. One that had just started and knew itself alone took the whole; after all nodes were killed with the store away, eleven wholes. Change: the part follows the members, eight of them at least; what was saved up beyond it is dropped.

--- a/caperstack/routing/budgets.py
+++ b/caperstack/routing/budgets.py
@@ -12,6 +12,10 @@
 #: Tokens of a service that was never called, for its first failures.
 START_TOKENS = 2.0
 
+#: A node that has just started may know itself alone, and would take the whole
+#: allowance for its own: it counts on this many others at least.
+FEWEST_NODES = 8
+
 
 def share_at_depth(share, depth):
     """Return the share that a call `depth` levels down its tree may add.
@@ -54,6 +58,12 @@
         self._tokens = start
         self._filled_at = now()
 
+    def bound(self, reserve, per_second):
+        """Save up at most `reserve` tokens from now on, and gain so many a second."""
+        self._reserve = reserve
+        self._per_second = per_second
+        self._tokens = min(self._tokens, reserve)
+
     def deposit(self, share):
         """Count one first try that earns `share` of an extra one."""
         self._tokens = min(self._reserve, self._tokens + share)
@@ -101,9 +111,17 @@
         the node's part of the floor.  The other half is left for calls that a
         repeated call makes again, and for nodes that come and go.
         """
-        part = self.floor / max(1, nodes) / 4
+        part = self._part(nodes)
         return CallBudget(max(1.0, part), min(1.0, part), part / self.window_seconds)
 
+    def share_out(self, budget, nodes):
+        """Bound `budget` anew: so many nodes are known now."""
+        part = self._part(nodes)
+        budget.bound(max(1.0, part), part / self.window_seconds)
+
+    def _part(self, nodes):
+        return self.floor / max(FEWEST_NODES, nodes) / 4
+
     def deposit_share(self):
         """Return what each first try earns; half of the share, for the same reason."""
         return self.share / 2
--- a/caperstack/routing/dispatch.py
+++ b/caperstack/routing/dispatch.py
@@ -76,6 +76,9 @@
         state = self._services.get(service)
         if state is None or state.policy_name != policy:
             state = self._services[service] = self._new_state(policy)
+        if self._allowance is not None and state.shared_among != self._members.version:
+            state.shared_among = self._members.version
+            self._allowance.share_out(state.retries, len(self._members.all()))
         return state
 
     def _new_state(self, policy):
--- a/caperstack/routing/service.py
+++ b/caperstack/routing/service.py
@@ -67,6 +67,11 @@
         What may be sent beyond first tries.
     hedges : caperstack.routing.budgets.CallBudget, optional
         What of it may be hedges, if that has a budget of its own.
+
+    Attributes
+    ----------
+    shared_among : int
+        The version of the members among whom the fleet's allowance was shared out.
     """
 
     def __init__(self, policy_name, retries, hedges=None):
@@ -74,6 +79,7 @@
         self.policy = policy_named(policy_name)
         self.retries = retries
         self.hedges = hedges or CallBudget()
+        self.shared_among = -1
         self._usual = TimedAverage(FIRST_USUAL_SECONDS, USUAL_SECONDS)
         self._routes = {}
 
--- a/caperstack/routing/tests/test_service.py
+++ b/caperstack/routing/tests/test_service.py
@@ -46,6 +46,16 @@
         self.assertLessEqual(taken, 0.2 * calls + 64)
         self.assertGreater(taken, 0.08 * calls)
 
+    def test_part_shrinks_when_more_nodes_are_known(self):
+        # A node starts, knows itself alone and takes a large part; once it
+        # knows the fleet, what it had saved up beyond its part is gone.
+        allowance = FleetAllowance(0.2, 6400, 10.0)
+        budget = allowance.budget(1)
+        for _ in range(1000):
+            budget.deposit(1.0)
+        allowance.share_out(budget, 800)
+        self.assertEqual(sum(budget.withdraw() for _ in range(50)), 2)
+
     def test_time_alone_fills_up_to_the_reserve(self):
         clock = 0.0
         with mock.patch("caperstack.routing.budgets.now", lambda: clock):
