--- a/caperstack/peers/connection.py
+++ b/caperstack/peers/connection.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from caperstack.clock import TransitClock, now
+from caperstack.clock import TransitClock, deadline_after, now
 from caperstack.exception import FrameError, PeerError
 from caperstack.peers.frames import FrameDecoder, encode_frame
 from caperstack.peers.messages import VERSION, Chunk, Hello
@@ -12,6 +12,9 @@
 
 READ_BYTES = 256 * 1024
 
+#: How long a new connection counts as one on which calls come, in seconds.
+FIRST_CALLS_SECONDS = 5.0
+
 #: Bytes that are buffered of a peer before reading from it pauses.
 BUFFER_BYTES = 256 * 1024
 CHUNK_BYTES = 64 * 1024
@@ -55,6 +58,7 @@
         self._closed = False
         self.address = address
         self.hello = None
+        self.calls_until = deadline_after(FIRST_CALLS_SECONDS)
         self.transit = TransitClock()
         self.arrival = 0.0
         self._metrics = metrics
--- a/caperstack/peers/port.py
+++ b/caperstack/peers/port.py
@@ -5,7 +5,7 @@
 
 from caperstack.addresses import split_address
 from caperstack.calls.model import NotRun
-from caperstack.clock import now
+from caperstack.clock import deadline_after, now
 from caperstack.exception import PeerError
 from caperstack.peers.connection import (
     BUFFER_BYTES,
@@ -30,6 +30,10 @@
 #: Connections that may be open without a finished handshake.
 STRANGERS_MOST = 64
 
+#: An entry that has not called for so long is not told of loads, in seconds; it
+#: hears of them with the answer to its next call, or when it greets.
+CALLS_SECONDS = 5.0
+
 #: How often a changed load is pushed, and how much change is worth a push.
 PUSH_SECONDS = 0.1
 PUSH_FACTOR = 2.0
@@ -37,6 +41,9 @@
 #: How far the crowding must move to be worth a push, in calls a slot.
 PUSH_CROWDING = 0.25
 
+#: How often at most a changed crowding alone is pushed, in seconds.
+PUSH_CROWDING_SECONDS = 0.3
+
 #: Silence after which an entry counts as gone, in seconds.
 ENTRY_SILENT_SECONDS = 30.0
 
@@ -59,6 +66,7 @@
         self._calls = 0
         self._strangers = 0
         self._pushed = None
+        self._crowding_due = 0.0
         self._pusher = None
         self._keys_watcher = None
         self._context = None
@@ -176,6 +184,7 @@
         self._events.clock.merge(message.clock)
         lateness = connection.transit.lateness(message.sent_us / 1e6, connection.arrival)
         call = call_from(message, body, connection.hello.host, connection.arrival, lateness)
+        connection.calls_until = deadline_after(CALLS_SECONDS)
         self._spawn(self._run(call, connection))
 
     @_take.register
@@ -275,7 +284,7 @@
         last = self._pushed
         if last is None or load.state != last.state:
             return True
-        if abs(_crowding(load) - _crowding(last)) >= PUSH_CROWDING:
+        if now() >= self._crowding_due and _moved(load, last) >= PUSH_CROWDING:
             return True
         before = max(1, last.service_us)
         after = max(1, load.service_us)
@@ -283,9 +292,16 @@
 
     def _push(self, load):
         self._pushed = load
+        self._crowding_due = deadline_after(PUSH_CROWDING_SECONDS)
         message = State(load_report(load))
         for connection in list(self._connections):
-            self._send(connection, message)
+            if now() < connection.calls_until:
+                self._send(connection, message)
+
+
+def _moved(load, last):
+    """Return how far the crowding has moved, in calls a slot."""
+    return abs(_crowding(load) - _crowding(last))
 
 
 def _crowding(load):
--- a/caperstack/settings/sync.py
+++ b/caperstack/settings/sync.py
@@ -33,6 +33,10 @@
 #: A body larger than this is refused; the platform holds values up to a megabyte.
 MAX_BODY = 2 * 1024 * 1024
 
+#: A reading that is later than the last one by this is a new one, in seconds;
+#: the same reading told over several ways differs by the time on the way.
+NEW_READING_SECONDS = 0.2
+
 #: How long a body that was asked for is waited for before another peer is
 #: asked, in seconds: 40 kB over a link of 5 Mbit/s, several at once.
 FETCH_SECONDS = 0.6
@@ -96,6 +100,7 @@
         self._task = None
         self._wanted = set()
         self._asked = {}
+        self._told_read_at = 0.0
         self._read_listeners = []
         self._agrees = asyncio.Event()
 
@@ -105,8 +110,8 @@
 
     def tell_read(self, read_at):
         """Tell all peers that the platform was read at `read_at`, and what is held since."""
-        age = max(1, int((now() - read_at) * 1e6))
-        message = Digest(digest_of(self._store.revisions), age)
+        self._told_read_at = read_at
+        message = self._read_message(read_at)
         for host, connection in list(self._connections.items()):
             self._send(connection, message, host)
 
@@ -192,8 +197,7 @@
     def _(self, message: Digest, body, host, connection):
         self._hear()
         if message.read_age_us:
-            for listener in self._read_listeners:
-                listener(connection.arrival - message.read_age_us / 1e6)
+            self._hear_read(connection.arrival - message.read_age_us / 1e6)
         revisions = self._store.revisions
         if message.value == digest_of(revisions):
             self._agrees.set()
@@ -201,6 +205,29 @@
         self._metrics.count("settings_differences")
         self._send(connection, Revisions(revisions, True), host)
 
+    def _hear_read(self, read_at):
+        """Take note of a reading, and pass the word on if it is new here.
+
+        Notes
+        -----
+        A reader is connected to some of a large fleet. Its word goes round by
+        the three successors of each node; an old word is not passed on again.
+        """
+        for listener in self._read_listeners:
+            listener(read_at)
+        if read_at < self._told_read_at + NEW_READING_SECONDS:
+            return
+        self._told_read_at = read_at
+        message = self._read_message(read_at)
+        for host in self._topology.successors[:SUCCESSORS]:
+            connection = self._connections.get(host)
+            if connection is not None:
+                self._send(connection, message, host)
+
+    def _read_message(self, read_at):
+        age = max(1, int((now() - read_at) * 1e6))
+        return Digest(digest_of(self._store.revisions), age)
+
     @_handle.register
     def _(self, message: Revisions, body, host, connection):
         self._hear()
--- a/caperstack/settings/tests/test_sync.py
+++ b/caperstack/settings/tests/test_sync.py
@@ -110,3 +110,12 @@
         self.sync.take("h1", self.peers["h1"], Digest(0), b"")
         self.assertEqual(heard, [99.75])
         self.assertEqual(json.dumps(self.store.revisions), "{}")
+
+    async def test_word_of_a_reading_goes_round_once(self):
+        # The reader is connected to a part of the fleet. Whoever hears of a
+        # new reading tells three others, and nobody tells an old one again.
+        for host, way in (("h1", 0.010), ("h2", 0.030), ("h3", 0.900)):
+            self.peers[host].arrival = 100.0 + way
+            self.sync.take(host, self.peers[host], Digest(1, 10_000), b"")
+        told = [m for c in self.peers.values() for m in c.sent if isinstance(m, Digest)]
+        self.assertEqual(len([m for m in told if m.read_age_us]), 6)
