Entries that are missing when the store is back are given time to return

Ruled out: the two seconds' grace itself, which was there and began too late. Change: the gap is noted before. A test with real nodes fails without it.

--- a/caperstack/platform/reader.py
+++ b/caperstack/platform/reader.py
@@ -114,7 +114,7 @@
         began = now()
         stale = self._starting
         try:
-            await self._read(stale)
+            await self._read(began, stale)
         except PlatformError as error:
             self._failed(error)
             return
@@ -125,7 +125,6 @@
             # Others must not take it for a reading of the present state.
             self._resume_at = deadline_after(READ_AFTER_SECONDS)
             return
-        self._note_gap(began)
         self._read_at = began
         self._sync.tell_read(began)
 
@@ -150,7 +149,7 @@
         self._resume_at = deadline_after(wait * random.uniform(0.7, 1.0))
         self._behind_until = deadline_after(STAND_DOWN_SECONDS)
 
-    async def _read(self, stale):
+    async def _read(self, began, stale):
         if self._all_at_once:
             reads = [await self._client.read(EVERYTHING, stale)]
         else:
@@ -158,6 +157,9 @@
                 await self._client.read(CONFIGURATION_KEY, stale),
                 await self._client.read(SERVERS_PREFIX, stale),
             ]
+        if not stale:
+            # Before what is missing is judged: it may be missing because of the gap.
+            self._note_gap(began)
         self._take_configuration(reads[0])
         self._take_servers(reads[-1])
         size = sum(len(item.value) for read in reads for item in read.items)
--- a/caperstack/platform/standin/store.py
+++ b/caperstack/platform/standin/store.py
@@ -41,6 +41,8 @@
     ----------
     calls : int
         Calls that came, refused ones included.
+    served : int
+        Calls that were answered with items.
     troubles : dict of str to StoreTroubles
         By address.
     """
@@ -52,6 +54,7 @@
         self._revision = 0
         self._tasks = set()
         self.calls = 0
+        self.served = 0
         self.troubles = {address: StoreTroubles() for address in addresses}
 
     async def start(self):
@@ -123,6 +126,7 @@
         after = _argument(request, "after")
         keys = sorted(k for k in self._items if k.startswith(prefix) and k > after)
         page = keys[: self._page_items]
+        self.served += 1
         return 200, {
             "items": [self._items[key] for key in page],
             "hasMore": len(keys) > len(page),
--- a/caperstack/platform/tests/test_path.py
+++ b/caperstack/platform/tests/test_path.py
@@ -245,6 +245,30 @@
         await asyncio.sleep(4.0)
         self.assertLessEqual(self.fleet.store.calls - before, 9)
 
+    async def test_entries_that_lapsed_with_the_store_may_come_back(self):
+        # The store is away, the entries lapse meanwhile, and on its return the
+        # backend servers, alive all the time, have yet to register again. To
+        # take them for gone would refuse every call for a second or two.
+        for troubles in self.fleet.store.troubles.values():
+            troubles.silent = True
+        await asyncio.sleep(4.0)
+        for host in self.fleet.hosts:
+            self.fleet.withdraw(host)
+        for troubles in self.fleet.store.troubles.values():
+            troubles.silent = False
+        self.fleet.store.served = 0
+
+        async def read_again():
+            return self.fleet.store.served >= 2
+
+        await self.until(read_again, "the store is read again")
+        for _ in range(5):
+            self.assertEqual((await self.fleet.ask(self.first, "/list/"))[1].code, 200)
+        for host in self.fleet.hosts:
+            self.fleet.register(host)
+        await asyncio.sleep(3.0)
+        self.assertEqual((await self.fleet.ask(self.first, "/list/"))[1].code, 200)
+
     async def test_killed_reader_is_replaced(self):
         # The node that reads for all is killed; the next in order reads when
         # the last reading is a second old, and a change is in force in time.
