A host is told over whichever connection to it is open

Ruled out: the packing and asking of bodies (all others had the change within 6 ms); the link's silence (no link was down). Change: all open connections to a host are kept, the newest is used; the word of a reading also goes to connected hosts that are not listed. Two unit tests fail without it.

--- a/caperstack/settings/sync.py
+++ b/caperstack/settings/sync.py
@@ -93,7 +93,7 @@
 
     def __init__(self, here):
         self._here = here
-        self._connections = {}
+        self._open = {}
         self._numbers = itertools.count(1)
         self._heard_until = 0.0
         self._tasks = set()
@@ -171,14 +171,28 @@
 
     def opened(self, host, connection):
         """A connection is up, dialled by either side: tell all revisions."""
-        self._connections[host] = connection
+        self._open.setdefault(host, []).append(connection)
         self._send(connection, Digest(digest_of(self._store.revisions)), host)
 
     def closed(self, host):
         """A connection is down."""
-        connection = self._connections.get(host)
-        if connection is not None and connection.closed:
-            del self._connections[host]
+        left = [connection for connection in self._open.get(host, ()) if not connection.closed]
+        self._open[host] = left
+        if not left:
+            del self._open[host]
+
+    @property
+    def _connections(self):
+        """The newest open connection to each host.
+
+        Notes
+        -----
+        Two nodes have a connection each way.  Failure: a host's backend server
+        leaves, peers close their links to it, and the one that the host itself
+        has dialled is forgotten with them; its callers get the old routes for
+        seconds after a change, since nobody tells it any more.
+        """
+        return {host: connections[-1] for host, connections in self._open.items()}
 
     # -- messages ---------------------------------------------------------
 
@@ -219,10 +233,12 @@
             return
         self._told_read_at = read_at
         message = self._read_message(read_at)
-        for host in self._topology.successors[:SUCCESSORS]:
-            connection = self._connections.get(host)
-            if connection is not None:
-                self._send(connection, message, host)
+        connections = self._connections
+        # A host that is not listed has a place in nobody's order.
+        unlisted = [host for host in connections if self._members.find(host) is None]
+        for host in (*self._topology.successors[:SUCCESSORS], *unlisted):
+            if host in connections:
+                self._send(connections[host], message, host)
 
     def _read_message(self, read_at):
         age = max(1, int((now() - read_at) * 1e6))
@@ -287,13 +303,13 @@
 
     def _on_change(self, held):
         message = Revisions({held.path: held.revision}, False)
-        for host in self._told_first():
+        connections = self._connections
+        for host in self._told_first(list(connections)):
             if host != held.source:
-                self._send(self._connections[host], message, host)
+                self._send(connections[host], message, host)
 
-    def _told_first(self):
-        """Return the hosts that are told of a change at once."""
-        hosts = list(self._connections)
+    def _told_first(self, hosts):
+        """Return those of the connected `hosts` that are told of a change at once."""
         if len(hosts) <= TELL_ALL:
             return hosts
         random.shuffle(hosts)
--- a/caperstack/settings/tests/test_sync.py
+++ b/caperstack/settings/tests/test_sync.py
@@ -21,6 +21,7 @@
     def __init__(self):
         self.sent = []
         self.arrival = 0.0
+        self.closed = False
 
     def send(self, message, body=b""):
         self.sent.append(message)
@@ -71,6 +72,28 @@
         near = [host for host in told if int(host[1:]) % 2 == 0]
         self.assertEqual((len(near), len(told) - len(near)), (TELL_NEAR, TELL_FAR))
 
+    async def test_host_is_told_over_the_connection_that_is_left(self):
+        # A backend server leaves the list and the link to its host is closed.
+        # The host's own connection to this node is open still, and a change
+        # must reach it: its callers go on calling through it.
+        for host in list(self.peers)[8:]:
+            self.peers[host].closed = True
+            self.sync.closed(host)
+        dialled = self.peers["h1"]
+        accepted = self.peers["h1"] = Connection()
+        self.sync._open["h1"] = [accepted, dialled]
+        dialled.closed = True
+        self.sync.closed("h1")
+        self.store.take("", 5, ROUTES, "platform")
+        self.assertEqual([type(message) for message in accepted.sent], [Revisions])
+
+    async def test_host_that_is_not_listed_hears_of_readings(self):
+        stranger = self.peers["new"] = Connection()
+        self.sync.opened("new", stranger)
+        self.peers["h1"].arrival = 100.0
+        self.sync.take("h1", self.peers["h1"], Digest(1, 10_000), b"")
+        self.assertTrue([m for m in stranger.sent if isinstance(m, Digest) and m.read_age_us])
+
     async def test_body_is_asked_of_one_peer_at_a_time(self):
         for host in ("h1", "h2", "h3"):
             self.sync.take(host, self.peers[host], Revisions({"": 5}, False), b"")
