Calls that can't be in time are refused at once; slots rounded down; back at once after a server's refusal

Change: SlotGate._last_start, rounding, ServiceTimes.held, REFUSED_SECONDS. The play knows slow, failing and shedding servers, plays run in parallel, visits have a chance of their own.

--- a/caperstack/admission/gate.py
+++ b/caperstack/admission/gate.py
@@ -10,20 +10,17 @@
 
 __all__ = ["SlotGate"]
 
-#: How long a call that can no longer be in time waits for a lull, in seconds.
-#: In a lasting overload there is none; its caller is better off with a refusal
-#: now and a later try than with one when its time is over.
-LATE_WAIT_SECONDS = 0.4
-
-#: Calls that take at most this share of the work that holds the slots count as
-#: short: 55 ms beside 290 at 1.7 times the rate are 0.24 of it, beside 550 0.11;
-#: 220 ms beside a twentieth of calls of two seconds are 0.31.
-SHORT_SHARE = 0.28
-
 #: Callers who are told to come back do so spread over this share of the wait,
 #: or they would all return at the same moment.
 RETURN_SPREAD = 0.5
 
+#: Products of slots and shares such as 0.8 fall short of whole numbers by so much.
+ROUNDING = 1e-9
+
+#: Calls that take at most this share of the work that holds a slot at a random
+#: moment count as short: 15 ms beside 42 are 0.36 of it, 55 beside 290 0.19.
+SHORT_SHARE = 0.5
+
 #: Waiting calls per slot that bound the queue's memory; what limits its length
 #: in practice is whether a call can still finish in time.
 QUEUE_PER_SLOT = 16
@@ -68,7 +65,10 @@
         return self._limit.limit
 
     def _used(self, slots):
-        return max(1, round(slots * self._share))
+        # Rounded down: with 9 of 11 calls at once, where the share allows 8.8,
+        # each call was 1.7 times as slow (a play of short work: a credit of
+        # 0.880 in place of 0.737).
+        return max(1, int(slots * self._share + ROUNDING))
 
     def resize(self, slots):
         """The backend server has so many slots from now on."""
@@ -123,7 +123,7 @@
 
     async def _wait_for_slot(self, call, on_wait):
         takes = self._takes(call)
-        self._queue.short_takes = SHORT_SHARE * self._times.held * self._pace.usual
+        self._queue.short_takes = SHORT_SHARE * self._turn
         wait = self._expected_wait(call, takes)
         last_start = self._last_start(call, takes)
         if now() + wait > last_start:
@@ -144,11 +144,34 @@
             raise
         return NotRun(reason, wait) if reason else None
 
+    @property
+    def _turn(self):
+        """How long a slot is taken by the work that usually holds it, in seconds."""
+        return self._times.held * self._pace.usual
+
     def _last_start(self, call, takes):
-        """Return the point until which `call` waits for a slot."""
+        """Return the point until which `call` waits for a slot.
+
+        Notes
+        -----
+        Which load it answers: more calls than slots for seconds.  A call that
+        can no longer be in time is told so at once, and comes back or lets
+        its own caller go.  Failure: it waited for a lull that did not come.
+        Late calls took slots from those that could still be in time, and calls
+        of a tree waited here for most of their time while their parent held a
+        slot of another service, one in five of these for work that failed in
+        the end.  Without that wait callers of a play of short work earned
+        0.961 in place of 0.905 (two seeds), of two lost servers 0.953 in place
+        of 0.940 (three).
+
+        Short calls wait for one turn more: their parent has run for longer and
+        would fail with them.  Without it 0.03 of the callers of whole days
+        failed more, and their worth fell by 0.04 on average (four days each of
+        two deployments with work of 55 beside 220 to 550 ms).
+        """
         in_time_until = (call.objective_at or call.deadline) - takes
-        lull_until = max(in_time_until, now()) + LATE_WAIT_SECONDS
-        return min(call.queue_until, call.deadline - takes, lull_until)
+        turn = self._turn if takes <= self._queue.short_takes else 0.0
+        return min(call.queue_until, call.deadline - takes, max(in_time_until, now()) + turn)
 
     def _return_after(self, wait):
         return wait * random.uniform(1.0, 1.0 + RETURN_SPREAD)
--- a/caperstack/admission/limit.py
+++ b/caperstack/admission/limit.py
@@ -11,8 +11,9 @@
 #: Weight of one call in the recent service time and in the share of failures.
 FAST_WEIGHT = 0.1
 
-#: Weight of one call in what usually holds the slots.
-HELD_WEIGHT = 0.02
+#: Seconds of work after which what held the slots before counts half: some 100
+#: calls of 200 ms, or 400 of 50.
+HELD_MOST = 20.0
 
 #: The time over which the recent one fades to the usual one without calls, and
 #: the usual one to nothing, in seconds.
@@ -73,8 +74,7 @@
         self._medium = TimedAverage(FIRST_GUESS, MEDIUM_SECONDS)
         self._usual = FIRST_GUESS
         self._guessed = False
-        self._mean = 0.0
-        self._squares = 0.0
+        self._slot_seconds = {}
         self._started = {}
         self._routes = {}
         self._ended_at = now()
@@ -123,6 +123,10 @@
             return False
         return self._fast > DOUBT * self._usual
 
+    def restart(self):
+        """Another start of the backend server: how slow the last one was says nothing."""
+        self._fast = self._usual if self.known else None
+
     def _faded(self):
         # Failure: a server that was slow gets no calls, so nothing shows that
         # it is quick again, and it stays idle for good.  What the last calls
@@ -155,12 +159,17 @@
 
         Notes
         -----
-        The mean of the squares over the mean: short calls may be most of the
-        calls, and yet most slots are held by long ones.  The time of the
-        slowest route in its place would let a few odd calls of seconds make
-        all others look short.
+        The median over slots, not calls: short calls may be most of the calls,
+        and yet most slots are held by long ones.  A mean in its place lets a
+        few odd calls of seconds make all others look short.
         """
-        return self._squares / self._mean if self._mean else 0.0
+        times = sorted((self._routes[r].value, s) for r, s in self._slot_seconds.items())
+        half = sum(self._slot_seconds.values()) / 2
+        for seconds, held in times:
+            half -= held
+            if half <= 0:
+                return seconds
+        return 0.0
 
     def route_known(self, route):
         """Return how long calls of `route` take, in seconds; 0 if few of them were answered."""
@@ -178,9 +187,6 @@
         if not counts:
             return
         self._learn_route(route, elapsed)
-        weight = HELD_WEIGHT if self._mean else 1.0
-        self._mean += weight * (elapsed - self._mean)
-        self._squares += weight * (elapsed**2 - self._squares)
         fast = elapsed if self._fast is None else self._faded()
         self._fast = fast + FAST_WEIGHT * (elapsed - fast)
         self._medium.add(elapsed)
@@ -195,8 +201,12 @@
         if average is None:
             if len(self._routes) >= ROUTES_MOST:
                 self._routes.clear()
+                self._slot_seconds.clear()
             average = self._routes[route] = TimedAverage(elapsed, ROUTE_SECONDS)
         average.add(elapsed)
+        self._slot_seconds[route] = self._slot_seconds.get(route, 0.0) + elapsed
+        if sum(self._slot_seconds.values()) > HELD_MOST:
+            self._slot_seconds = {r: s / 2 for r, s in self._slot_seconds.items()}
 
 
 class FailureShare:
@@ -230,6 +240,11 @@
         self._probe_at = deadline_after(PROBE_SECONDS)
         return True
 
+    def restart(self):
+        """Another backend server, or another start of it: nothing has failed yet."""
+        self._share = 0.0
+        self._probe_at = 0.0
+
     def add(self, failed):
         """Note one more call."""
         self._share += FAST_WEIGHT * (failed - self._share)
--- a/caperstack/admission/queue.py
+++ b/caperstack/admission/queue.py
@@ -45,8 +45,7 @@
         Which load it answers: more calls than slots for some seconds.  First
         come, first served makes every call late once the queue is as long as
         the objective, for as long as the overload lasts.  A call that can no
-        longer be in time waits behind all that still can; it runs when there
-        is a lull, so that most are in time and the rest still get an answer.
+        longer be in time waits behind all that still can.
 
         Short calls are most often part of a longer one that runs elsewhere and
         waits for them.  Failure: one of 55 ms was late after a tenth of a
@@ -68,9 +67,9 @@
 
     def __init__(self, capacity):
         self._capacity = capacity
-        self.short_takes = 0.0
         self._waiters = set()
         self._sequence = itertools.count()
+        self.short_takes = 0.0
         self._starts = deque()
         self._busy_since = None
 
@@ -99,11 +98,8 @@
     def ahead_of(self, call, takes=0.0):
         """Return how many waiting calls would go before `call`, were it to wait."""
         moment = now()
-        mine = self._rank(Waiter(call, next(self._sequence), takes, None), moment)
-        return sum(1 for waiter in self._open() if self._rank(waiter, moment) < mine)
-
-    def _rank(self, waiter, moment):
-        return waiter.rank(moment, self.short_takes)
+        mine = Waiter(call, next(self._sequence), takes, None).rank(moment, self.short_takes)
+        return sum(1 for waiter in self._open() if waiter.rank(moment, self.short_takes) < mine)
 
     def _open(self):
         return [waiter for waiter in self._waiters if not waiter.admitted.done()]
@@ -118,7 +114,7 @@
         """
         moment = now()
         ready = [w for w in self._open() if holds is None or not holds(w.call)]
-        first = min(ready, key=lambda waiter: self._rank(waiter, moment), default=None)
+        first = min(ready, key=lambda waiter: waiter.rank(moment, self.short_takes), default=None)
         if first is None:
             return None
         self._starts.append((moment, first.call.criticality))
@@ -148,11 +144,12 @@
             for at, criticality in self._starts
             if at >= moment - window and criticality <= call.criticality
         )
-        mine = self._rank(Waiter(call, next(self._sequence), takes, None), moment)
+        mine = Waiter(call, next(self._sequence), takes, None).rank(moment, self.short_takes)
         ahead = sum(
             1
             for waiter in self._open()
-            if waiter.call.criticality <= call.criticality and self._rank(waiter, moment) < mine
+            if waiter.call.criticality <= call.criticality
+            and waiter.rank(moment, self.short_takes) < mine
         )
         return (ahead + 1) * window / max(started, 0.5)
 
@@ -165,9 +162,11 @@
             Whether there is room now.
         """
         moment = now()
-        last = max(self._open(), key=lambda waiter: self._rank(waiter, moment), default=None)
-        mine = self._rank(Waiter(call, next(self._sequence), takes, None), moment)
-        if last is None or self._rank(last, moment)[:2] <= mine[:2]:
+        last = max(
+            self._open(), key=lambda waiter: waiter.rank(moment, self.short_takes), default=None
+        )
+        mine = Waiter(call, next(self._sequence), takes, None).rank(moment, self.short_takes)
+        if last is None or last.rank(moment, self.short_takes)[:2] <= mine[:2]:
             return False
         self._end(last, "displaced by a more urgent call")
         return True
--- a/caperstack/admission/tests/test_owner.py
+++ b/caperstack/admission/tests/test_owner.py
@@ -19,8 +19,12 @@
     def __init__(self):
         self.running = {}
         self.started = []
+        self.restarts = 0
         self.clock = 0.0
 
+    def restart(self):
+        self.restarts += 1
+
     async def fetch(self, call, instance=""):
         future = self.running[call.id] = asyncio.get_running_loop().create_future()
         self.started.append(call.id)
@@ -365,18 +369,52 @@
         for task in (*tasks, late, fresh):
             task.cancel()
 
-    async def test_late_call_does_not_wait_out_its_deadline(self):
-        # In a lasting overload a late call gets no slot.  It is told so soon,
-        # not when its five seconds are over.
-        with mock.patch("caperstack.admission.gate.LATE_WAIT_SECONDS", 0.05):
-            tasks = [self.begin(1), self.begin(2)]
-            await self.turn()
-            began = now()
-            self.assertIsInstance(await self.waiting_call(3, 0.0), NotRun)
-            self.assertLess(now() - began, 2.0)
+    async def test_call_that_cannot_be_in_time_is_refused_at_once(self):
+        # In an overload a call comes whose objective is over.  It is told so
+        # now, not when its five seconds are over, and takes no place in the
+        # queue from those that can be in time.
+        tasks = [self.begin(1), self.begin(2)]
+        await self.turn()
+        late = self.waiting_call(3, 0.0)
+        await self.turn()
+        self.assertTrue(late.done())
+        self.assertIsInstance(late.result(), NotRun)
+        self.assertEqual(self.owner.load.queued, 0)
         for task in tasks:
             task.cancel()
 
+    async def test_late_call_runs_where_a_slot_is_free(self):
+        running = self.begin(1)
+        await self.turn()
+        late = self.waiting_call(2, 0.0)
+        await self.turn()
+        self.client.answer(2)
+        self.assertEqual(await late, GOOD)
+        running.cancel()
+
+    async def test_call_of_a_tree_lets_its_parent_go(self):
+        # A lookup runs at another service and waits for a check here that takes
+        # 15 ms of the 80 it has.  All slots are taken.  The check is refused
+        # when it can't be in time any more, so that the lookup ends and frees
+        # its slot, not 200 ms later with the deadline of both.
+        await self.learn_time(0.015)
+        tasks = [self.begin(1), self.begin(2)]
+        await self.turn()
+        began = now()
+        self.assertIsInstance(await self.waiting_call(3, 0.08), NotRun)
+        self.assertLess(now() - began, 0.4)
+        for task in tasks:
+            task.cancel()
+
+    async def test_slots_are_rounded_down(self):
+        # With 9 of 11 calls at once a server is slower by more than the ninth
+        # slot brings; a share of 0.8 is to keep it from there.
+        limits = []
+        for slots in (1, 3, 5, 10, 11, 18, 300):
+            owner = Owner(SimpleNamespace(slots=slots, slots_share=0.8), self.client)
+            limits.append(owner.load.limit)
+        self.assertEqual(limits, [1, 2, 4, 8, 8, 14, 240])
+
     def waiting_call(self, number, objective_seconds):
         call = Call(number, "n", "r", "s", "POST", "/", [], b"", deadline_after(5), False)
         call.queue_until = call.deadline
--- a/caperstack/backend/client.py
+++ b/caperstack/backend/client.py
@@ -19,8 +19,10 @@
 #: seconds of a send; one that is lost later was lost with its work.
 RESET_SECONDS = 0.02
 
-#: How soon a call that the backend server refused may come back, in seconds.
-REFUSED_SECONDS = 0.2
+#: How soon a call that the backend server refused may come back, in seconds: at once.
+#: Its owner never sends more calls than there are slots, so a refusal does not
+#: mean that the server is full, and the next try has the same chance later.
+REFUSED_SECONDS = 0.0
 
 MISDIRECTED = 421
 
@@ -89,6 +91,13 @@
             connection.close()
         self._drop_idle()
 
+    def restart(self):
+        """The backend server has started anew: nothing of its former run is left to wait for."""
+        for connection in list(self._running):
+            connection.close()
+        self._drop_idle()
+        self._freshness = Freshness()
+
     def _drop_idle(self):
         while self._idle:
             self._idle.pop().close()
--- a/caperstack/play/fleet.py
+++ b/caperstack/play/fleet.py
@@ -55,8 +55,9 @@
         async def nested(kind, call):
             return await self._nested(host, kind, call)
 
-        chance = random.Random(f"{self._scenario.seed} {name}")
-        server = ModelServer(service, self._kind_of, nested, chance)
+        work_rng = random.Random(f"{self._scenario.seed} {name} work")
+        visits_rng = random.Random(f"{self._scenario.seed} {name} visits")
+        server = ModelServer(service, self._kind_of, nested, work_rng, visits_rng)
         zone = f"zone-{number % self._scenario.zones}"
         host = PlayHost(name, zone, service, server, self._options)
         return host
@@ -109,6 +110,15 @@
             await host.stop()
         self._join()
 
+    async def ail(self, event):
+        """Let servers of a service have the fault of `event` for its time."""
+        ailing = [h.server for h in self.hosts if h.service.name == event.service][: event.count]
+        for server in ailing:
+            server.fault = event
+        await asyncio.sleep(event.seconds)
+        for server in ailing:
+            server.fault = None
+
     async def restart(self):
         """Let all nodes and servers start anew."""
         for host in self.hosts:
--- a/caperstack/play/main.py
+++ b/caperstack/play/main.py
@@ -2,7 +2,9 @@
 
 import argparse
 import json
+import os
 import sys
+from concurrent.futures import ProcessPoolExecutor
 from dataclasses import asdict
 
 from caperstack import __version__
@@ -36,15 +38,26 @@
         help="may be given several times; by default all of them",
     )
     parser.add_argument("--seeds", type=int, default=1, help="so many plays of each, by seed")
+    parser.add_argument(
+        "--jobs", type=int, default=max(1, (os.cpu_count() or 1) // 2), help="plays at a time"
+    )
     parser.add_argument("--kinds", action="store_true", help="a line for each kind of call too")
     parser.add_argument("--json", help="write the figures to this file")
     parser.add_argument("--version", action="version", version=f"%(prog)s {__version__}")
     return parser
 
 
-def _ended(scenario, policy, seeds):
-    for seed in range(scenario.seed, scenario.seed + seeds):
-        yield from play(scenario.model_copy(update={"seed": seed}), policy)
+def _played(scenario, policies, seeds, jobs):
+    """Yield each policy with how the requests of all its plays ended, `jobs` plays at a time."""
+    plays = [
+        (scenario.model_copy(update={"seed": seed}), policy)
+        for policy in policies
+        for seed in range(scenario.seed, scenario.seed + seeds)
+    ]
+    with ProcessPoolExecutor(jobs) as pool:
+        ended = pool.map(play, *zip(*plays, strict=True))
+        for policy in policies:
+            yield policy, [one for _ in range(seeds) for one in next(ended)]
 
 
 def _row(name, figures):
@@ -81,8 +94,8 @@
         return EXIT_BAD_ARGUMENTS
     found = {}
     print(_heading())
-    for policy in options.policy or POLICIES:
-        ended = list(_ended(scenario, policy, options.seeds))
+    policies = options.policy or list(POLICIES)
+    for policy, ended in _played(scenario, policies, options.seeds, options.jobs):
         found[policy] = figures_of(ended)
         print(_row(policy, found[policy]), flush=True)
         for kind in scenario.kinds if options.kinds else ():
--- a/caperstack/play/policies.py
+++ b/caperstack/play/policies.py
@@ -12,6 +12,10 @@
     return (waiter.sequence,) * 2
 
 
+def _until_the_deadline(_gate, call, takes):
+    return min(call.queue_until, call.deadline - takes)
+
+
 _QUEUE = "caperstack.admission.queue"
 _GATE = "caperstack.admission.gate"
 _PACE = "caperstack.admission.pace"
@@ -36,7 +40,19 @@
         "load_aware",
         {"caperstack.admission.owner.FRESH_READING_SECONDS": 1e9},
     ),
-    "late calls do not wait": ("load_aware", {f"{_GATE}.LATE_WAIT_SECONDS": 0.0}),
+    "plain queue": (
+        "load_aware",
+        {
+            f"{_QUEUE}.Waiter.rank": _by_arrival,
+            f"{_GATE}.SlotGate._last_start": _until_the_deadline,
+        },
+    ),
+    "slots rounded up": ("load_aware", {f"{_GATE}.ROUNDING": 1.0}),
+    "late calls wait": ("load_aware", {f"{_GATE}.SlotGate._last_start": _until_the_deadline}),
+    "return later after a refusal": (
+        "load_aware",
+        {"caperstack.play.server.REFUSED_SECONDS": 0.2},
+    ),
 }
 
 
--- a/caperstack/play/scenario.py
+++ b/caperstack/play/scenario.py
@@ -64,16 +64,25 @@
 
     ``burst`` multiplies arrivals by ``factor`` for ``seconds``; ``lose`` takes
     ``count`` servers of ``service`` away for good; ``restart`` makes all nodes
-    and servers start anew, cold and without memory.
+    and servers start anew, cold and without memory.  For ``seconds``, ``count``
+    servers of ``service`` take ``factor`` times as long (``slow``), refuse a
+    ``share`` of their calls without running them (``shed``), or run them and
+    fail (``fail``).
     """
 
     at: float = Field(ge=0)
-    what: Literal["burst", "lose", "restart"]
+    what: Literal["burst", "lose", "restart", "slow", "shed", "fail"]
     seconds: float = Field(1.0, gt=0)
     factor: float = Field(1.5, gt=0)
+    share: float = Field(0.5, gt=0, le=1)
     service: str = ""
     count: int = Field(1, ge=1)
 
+    @property
+    def of_service(self):
+        """Whether it happens to servers of one service."""
+        return self.what in ("lose", "slow", "shed", "fail")
+
 
 class Scenario(_Model):
     """A play."""
@@ -102,7 +111,7 @@
                 if nested.kind not in kinds:
                     raise ValueError(f"kinds.{kind.name}.calls: no kind {nested.kind!r}")
         for event in self.events:
-            if event.what == "lose" and event.service not in services:
+            if event.of_service and event.service not in services:
                 raise ValueError(f"events at {event.at}: no service {event.service!r}")
         return self
 
--- a/caperstack/play/server.py
+++ b/caperstack/play/server.py
@@ -4,6 +4,7 @@
 import math
 from collections import deque
 
+from caperstack.backend.client import REFUSED_SECONDS
 from caperstack.calls.dialect import ServerReport
 from caperstack.calls.model import Answered, NotRun
 from caperstack.clock import deadline_after, now, time_left
@@ -11,9 +12,6 @@
 
 __all__ = ["ModelServer"]
 
-#: How soon a call that a full server refused may come back, in seconds.
-REFUSED_SECONDS = 0.2
-
 
 class ModelServer:
     """What an owner sees of a backend server, played without a network.
@@ -30,20 +28,25 @@
         ``await nested(kind, call)`` makes the calls of a call's work and returns
         whether all were answered.
     rng : random.Random
-        The chance in it.
+        The chance in its work.
+    visits_rng : random.Random
+        The chance in its neighbour's visits, apart, so that they are the same
+        under every policy.
     """
 
-    def __init__(self, service, work, nested, rng):
+    def __init__(self, service, work, nested, rng, visits_rng):
         self._service = service
         self._work = work
         self._nested = nested
         self._rng = rng
+        self._visits_rng = visits_rng
         self._waiting = deque()
         self._cold_until = 0.0
         self._on_report = None
         self.running = 0
         self.neighbour = 1.0
         self.lost = False
+        self.fault = None
 
     async def start(self, kernel):
         """Nothing to start."""
@@ -71,9 +74,9 @@
         """Let the neighbour come and go, for ever."""
         service = self._service
         while True:
-            taken = self._rng.random() < service.visit_share
+            taken = self._visits_rng.random() < service.visit_share
             self.neighbour = service.visit_factor if taken else 1.0
-            await asyncio.sleep(self._rng.expovariate(1 / service.visit_seconds))
+            await asyncio.sleep(self._visits_rng.expovariate(1 / service.visit_seconds))
 
     async def probe(self, _path, _deadline):
         """Answer a question after its health."""
@@ -90,6 +93,8 @@
         """Run `call` as the modelled server would."""
         if self.lost:
             raise BackendError("no connection", step="connect", sent=False)
+        if self._fails("shed"):
+            return NotRun("server sheds", REFUSED_SECONDS, offered=True)
         kind = self._work(call)
         try:
             async with asyncio.timeout_at(call.deadline):
@@ -102,6 +107,11 @@
         except TimeoutError:
             raise BackendError("deadline passed", step="backend") from None
 
+    def _fails(self, what):
+        """Return whether a fault of that kind strikes a call now."""
+        fault = self.fault
+        return fault is not None and fault.what == what and self._rng.random() < fault.share
+
     async def _slot(self):
         if self.running < self._service.slots:
             self.running += 1
@@ -130,6 +140,8 @@
             if not await self._nested(kind, call):
                 return Answered(500, "Internal Server Error", [], b"")
             await asyncio.sleep(seconds / 2)
+        if self._fails("fail"):
+            return Answered(500, "Internal Server Error", [], b"")
         if time_left(call.deadline) <= 0:
             return Answered(504, "Gateway Timeout", [], b"")
         self._tell()
@@ -138,6 +150,8 @@
     def _seconds(self, kind):
         service = self._service
         factor = self.pace
+        if self.fault is not None and self.fault.what == "slow":
+            factor *= self.fault.factor
         if self.running > service.knee * service.slots:
             factor *= service.knee_factor
         mean = math.log(kind.work_ms / 1000) - kind.spread**2 / 2
--- a/caperstack/play/tests/test_play.py
+++ b/caperstack/play/tests/test_play.py
@@ -92,9 +92,24 @@
         brief = scenario.model_copy(update={"seconds": 3.0})
         self.assertEqual(figures_of(play(brief)), figures_of(play(brief)))
 
-    def test_calls_that_can_be_in_time_go_first(self):
-        # In the order of arrival all are late while the overload lasts.
-        self.assert_gain("lost-servers", "first come first served", 0.03)
+    def test_calls_that_can_be_in_time_are_not_kept_by_those_that_cannot(self):
+        # In the order of arrival, and with all waiting until their deadlines,
+        # all are late while the overload lasts.  Measured: a credit of 0.94
+        # in place of 0.88.
+        self.assert_gain("lost-servers", "plain queue", 0.03)
+
+    def test_slots_are_rounded_down(self):
+        # Nine calls at once where a share of 0.8 allows 8.8 slow a server down
+        # by more than the ninth slot brings.  Measured: 0.92 in place of 0.76.
+        self.assert_gain("short-work", "slots rounded up", 0.08)
+
+    def test_callers_return_at_once_when_a_server_refused(self):
+        # Seven servers refuse half of their calls for four seconds.  A caller
+        # that is told to come back in 0.2 s is late with its second try.
+        # Measured: 0.04 late in place of 0.07.
+        shipped = figures("short-faults", "shipped")
+        without = figures("short-faults", "return later after a refusal")
+        self.assertLess(shipped.late, 0.75 * without.late)
 
     def test_hosts_with_a_neighbour_are_left_alone(self):
         self.assert_gain("lost-servers", "visits ignored", 0.10)
