--- a/caperstack/admission/owner.py
+++ b/caperstack/admission/owner.py
@@ -143,19 +143,40 @@
         for listener in self._listeners:
             listener()
 
-    def assign(self, instance, service):
-        """The backend server is this instance, of this service, from now on."""
+    def assign(self, instance, service, born_ms=0):
+        """The backend server is this start of this instance, of this service, from now on.
+
+        Notes
+        -----
+        Failure: a backend server starts again under the name that it had.  By
+        its name alone it looks like the one before: calls wait for slots that
+        the former run held, go out on connections that it had open, and are
+        refused for failures that were not this one's.  What ran there before
+        ends as unknown, not as not run.
+        """
         standing = self._standing
-        if (instance, service) != (standing.instance, standing.service):
-            self._events.state("instance", standing.instance, f"{instance} of {service}")
-            moved = standing.service not in ("", service)
-            standing.instance = instance
-            standing.service = service
-            self._pace.restart()
-            if moved:
-                # Failure: a call waits here while the address goes to another
-                # service; named to the new instance, it runs there.
-                self._gate.refuse_all("backend server is of another service")
+        if (instance, born_ms, service) == (standing.instance, standing.born_ms, standing.service):
+            return
+        self._events.state("instance", standing.instance, f"{instance} of {service}, {born_ms}")
+        first = not standing.instance
+        moved = standing.service not in ("", service)
+        standing.instance = instance
+        standing.born_ms = born_ms
+        standing.service = service
+        self._pace.restart()
+        if not first:
+            self._start_anew(moved)
+
+    def _start_anew(self, moved):
+        self._failures.restart()
+        self._times.restart()
+        self._client.restart()
+        if self._refresh is not None:
+            self._expect_reading()
+        # Failure: a call waits here while the address goes to another service;
+        # named to the new instance, it runs there.
+        reason = "backend server is of another service" if moved else "backend server started anew"
+        self._gate.refuse_all(reason)
 
     def resize(self, slots):
         """The backend server has so many slots from now on."""
@@ -173,8 +194,11 @@
         refresh : callable, optional
             ``await refresh()`` asks once more, now.
         """
-        self._pace.expect_reading()
         self._refresh = refresh
+        self._expect_reading()
+
+    def _expect_reading(self):
+        self._pace.expect_reading()
         # Where none comes, what waited for it starts without.
         asyncio.get_running_loop().call_later(FIRST_READING_SECONDS, self._gate.start_waiting)
 
--- a/caperstack/admission/standing.py
+++ b/caperstack/admission/standing.py
@@ -14,6 +14,10 @@
 
     Attributes
     ----------
+    instance, service : str
+        The name of the backend server and its service; empty if unknown.
+    born_ms : int
+        When it started, in milliseconds since 1970; 0 if nobody says.
     node_leaves : bool
         The node itself stops, for good.
     """
@@ -24,6 +28,7 @@
         self._listed = True
         self._answering_until = 0.0
         self.instance = ""
+        self.born_ms = 0
         self.service = ""
         self.node_leaves = False
 
--- a/caperstack/admission/tests/test_owner.py
+++ b/caperstack/admission/tests/test_owner.py
@@ -149,6 +149,36 @@
         self.assertEqual(self.client.started, [1, 2])
         self.assertIsInstance(await tasks[2], NotRun)
 
+    async def test_new_start_under_the_same_name_takes_nothing_over(self):
+        # A backend server ends with two bookings at work and one that waits,
+        # and starts again under its name.  The one that waits goes elsewhere at
+        # once; the two that ran end as unknown, never as not run.
+        self.owner.assign("i1", "s", 1000)
+        tasks = [self.begin(1), self.begin(2), self.begin(3)]
+        await self.turn()
+        self.owner.assign("i1", "s", 1000)
+        await self.turn()
+        self.assertEqual((self.client.restarts, tasks[2].done()), (0, False))
+        self.owner.assign("i1", "s", 2000)
+        self.assertEqual(self.client.restarts, 1)
+        self.assertIsInstance(await tasks[2], NotRun)
+        for number in (1, 2):
+            self.client.answer(number, BackendError("connection closed", step="answer"))
+        for task in tasks[:2]:
+            self.assertIsInstance(await task, Unknown)
+        self.assertEqual(self.client.started, [1, 2])
+
+    async def test_new_start_is_not_blamed_for_the_failures_of_the_last(self):
+        self.owner.assign("i1", "s", 1000)
+        for number in range(30):
+            task = self.begin_last(number)
+            await self.turn()
+            self.client.answer(number, Answered(500, "Failed", [], b""))
+            await task
+        self.assertGreater(self.owner.load.failing, 90)
+        self.owner.assign("i1", "s", 2000)
+        self.assertEqual(self.owner.load.failing, 0)
+
     async def test_slots_bound_what_runs_and_the_critical_goes_first(self):
         tasks = [self.begin(1), self.begin(2), self.begin(3, criticality=0), self.begin(4)]
         booking = self.begin(5, criticality=2)
--- a/caperstack/backend/tests/test_client.py
+++ b/caperstack/backend/tests/test_client.py
@@ -128,6 +128,22 @@
         await client.fetch(make_call())
         self.assertEqual(client.opened, opened + 1)
 
+    async def test_restart_ends_what_runs_and_keeps_no_connection(self):
+        # The backend server has started anew: what ran in its former run gets
+        # no answer any more, and may have run.
+        client = await self.client_for(GOOD, None, GOOD)
+        await client.fetch(make_call())
+        running = asyncio.create_task(client.fetch(make_call()))
+        while self.server.requests < 2:
+            await asyncio.sleep(0.005)
+        client.restart()
+        with self.assertRaises(BackendError) as caught:
+            await running
+        self.assertTrue(caught.exception.sent)
+        opened = client.opened
+        await client.fetch(make_call())
+        self.assertEqual(client.opened, opened + 1)
+
     async def test_refused_connection_is_proof(self):
         client = BackendClient(free_addresses(1)[0], 10, 1024)
         self.addAsyncCleanup(client.stop)
--- a/caperstack/membership/members.py
+++ b/caperstack/membership/members.py
@@ -10,7 +10,13 @@
 
 @dataclass(frozen=True, slots=True)
 class HostEntry:
-    """One line of the platform's host list."""
+    """One line of the platform's host list.
+
+    Attributes
+    ----------
+    instance : str
+        Tells the starts of its backend server apart; empty if the list does not.
+    """
 
     host: str
     zone: str
@@ -18,6 +24,7 @@
     service: str
     peer_address: str
     leaving: bool = False
+    instance: str = ""
 
 
 @dataclass(slots=True)
@@ -42,6 +49,7 @@
     incarnation: int = 0
     leaving_incarnation: int = -1
     listed_leaving: bool = False
+    instance: str = ""
     owner: object = None
     estimate: Estimate = field(default_factory=Estimate)
 
@@ -165,10 +173,19 @@
             self._events.state("member", "absent", "present", entry.host)
             for listener in self._listeners:
                 listener(member, False)
+        if entry.instance != member.instance:
+            self._start_anew(member, entry.instance)
         if entry.leaving != member.listed_leaving:
             member.listed_leaving = entry.leaving
             self._events.state("listed as leaving", not entry.leaving, entry.leaving, entry.host)
 
+    def _start_anew(self, member, instance):
+        """Another backend server, or another start of it, is at that host."""
+        if member.instance:
+            self._events.state("instance", member.instance, instance, member.host)
+            member.estimate.restart()
+        member.instance = instance
+
     def _move(self, member, service):
         # The backend server beside this node is now one of another service.
         self._services[member.service].remove(member)
--- a/caperstack/membership/tests/test_members.py
+++ b/caperstack/membership/tests/test_members.py
@@ -50,6 +50,23 @@
         member.incarnation = 6
         self.assertFalse(member.leaving)
 
+    def test_new_start_of_a_backend_server_begins_with_a_clean_slate(self):
+        # A backend server failed until it was ejected, drained, and starts
+        # again under its name.  Own calls that are still out stay counted.
+        members = make_members()
+        members.take_list([entry("x", instance="i@1", leaving=True)])
+        member = members.find("x")
+        member.estimate.begin()
+        for _ in range(20):
+            member.estimate.take_result(True)
+        member.estimate.take_load(Load(state=ServerState.LEAVING))
+        members.take_list([entry("x", instance="i@1", leaving=True)])
+        self.assertTrue(member.estimate.ejected)
+        members.take_list([entry("x", instance="i@2")])
+        self.assertFalse(member.leaving)
+        self.assertFalse(member.estimate.ejected)
+        self.assertEqual((member.estimate.failing, member.estimate.in_flight), (0.0, 1))
+
     def test_drain_of_a_backend_server_may_end(self):
         members = make_members()
         members.take_list([entry("x")])
--- a/caperstack/platform/fleet.py
+++ b/caperstack/platform/fleet.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from caperstack.membership.members import HostEntry
-from caperstack.platform.items import ServerEntry
+from caperstack.platform.entries import ServerEntry
 from caperstack.platform.names import CONFIGURATION_KEY
 
 __all__ = ["FleetView"]
@@ -22,9 +22,11 @@
         self._here = here
         self._registered = False
         self._servers_due = False
+        self._unnamed = {}
 
     async def start(self, kernel):
         """Follow the settings."""
+        self._events = kernel.find("events")
         self._settings = kernel.find("settings")
         self._members = kernel.find("members")
         self._owner = kernel.find("owner")
@@ -58,7 +60,8 @@
     def _on_change(self, held):
         if held.path == CONFIGURATION_KEY:
             self._apply_limits(held.parsed)
-        elif not self._servers_due:
+        # A service may be named only by a later configuration than its servers.
+        if not self._servers_due:
             # A node that starts takes in all entries in one turn of the loop;
             # applied one by one that would cost the square of the fleet, 25 ms
             # for 33 of them on a weak host.
@@ -75,9 +78,9 @@
     def _apply_servers(self):
         self._servers_due = False
         newest = {}
-        for entry in self._entries():
+        for entry in self._named(self._entries()):
             present = newest.get(entry.host)
-            if present is None or entry.created > present.created:
+            if present is None or entry.order > present.order:
                 newest[entry.host] = entry
         self._members.take_list([self._host_entry(entry) for entry in newest.values()])
         self._apply_own(newest.get(self._here.host))
@@ -87,6 +90,19 @@
             if isinstance(held.parsed, ServerEntry):
                 yield held.parsed
 
+    def _named(self, entries):
+        """Yield the entries of services that the configuration names, if one is known."""
+        configuration = self.configuration
+        unnamed = {}
+        for entry in entries:
+            if configuration is None or entry.service in configuration.services:
+                yield entry
+            else:
+                unnamed[entry.instance] = entry.service
+        for instance in unnamed.keys() - self._unnamed.keys():
+            self._events.line("foreign entry", key=instance, reason="service: not configured")
+        self._unnamed = unnamed
+
     def _host_entry(self, entry):
         port = self._here.peer_address.rpartition(":")[2]
         return HostEntry(
@@ -96,6 +112,7 @@
             entry.service,
             f"{entry.host}:{port}",
             entry.leaving,
+            entry.incarnation,
         )
 
     def _apply_own(self, entry):
@@ -103,6 +120,6 @@
             self._owner.set_listed(False)
             return
         self._registered = True
-        self._owner.assign(entry.instance, entry.service)
+        self._owner.assign(entry.instance, entry.service, entry.born_ms)
         self._owner.resize(entry.slots)
         self._owner.set_listed(not entry.leaving)
--- a/caperstack/platform/items.py
+++ b/caperstack/platform/items.py
@@ -1,19 +1,18 @@
-"""What lies in the platform's store, decoded once into the product's types."""
+"""The operator's configuration in the platform's store, decoded once into the product's types."""
 
 from dataclasses import dataclass, field
 
 import msgspec
 
-from caperstack.addresses import split_address
 from caperstack.exception import ConfigurationError
 from caperstack.platform.durations import seconds_of
-from caperstack.platform.names import CONFIGURATION_KEY, SERVERS_PREFIX
+from caperstack.platform.entries import Births, parse_entry
+from caperstack.platform.names import CONFIGURATION_KEY
 from caperstack.routing.table import EffectiveService, Route, RoutingTable, WeightedService
 
-__all__ = ["Configuration", "ServerEntry", "StoreCodec"]
+__all__ = ["Configuration", "StoreCodec"]
 
 IDEMPOTENT = {"idempotent": True, "non_idempotent": False}
-DRAINING = {"ready": False, "draining": True}
 
 #: Health checks a second.  The pace of a host changes every 300 ms or so;
 #: checked each 80 ms it is known 40 ms late on average.  On a calm day a plain
@@ -65,23 +64,6 @@
     limits: _LimitsRow
 
 
-class _Info(msgspec.Struct):
-    service: str
-    zone: str
-    slots: int
-
-
-class _Status(msgspec.Struct):
-    state: str
-    cold_left: str = msgspec.field(name="coldLeft", default="0ms")
-
-
-class _Server(msgspec.Struct):
-    address: str
-    info: _Info
-    status: _Status
-
-
 @dataclass(frozen=True, slots=True)
 class ServiceLimits:
     """Where a service's health is asked, and the connections that a server takes."""
@@ -101,47 +83,19 @@
     idle_seconds: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class ServerEntry:
-    """A backend server as it registered itself.
-
-    Attributes
-    ----------
-    instance : str
-        One run of the server; a restart is another instance.
-    address : str
-        Its ``ip:port``; the IP is that of its host.
-    leaving : bool
-        Whether it drains.
-    created : int
-        The store's revision at which the entry appeared; the later of two at
-        one address is the one that holds it.
-    """
-
-    instance: str
-    service: str
-    address: str
-    zone: str
-    slots: int
-    leaving: bool
-    created: int
-
-    @property
-    def host(self):
-        """The IP of its host, which names the node beside it."""
-        return split_address(self.address)[0]
-
-
 class StoreCodec:
     """Parses and compiles what the store holds, for `caperstack.settings.store.SettingsStore`."""
 
+    def __init__(self):
+        self._births = Births()
+
     @property
     def measuring_per_second(self):
         """Health checks a second."""
         return MEASURING_PER_SECOND
 
     def parse(self, key, document):
-        """Return the `Configuration` or `ServerEntry` in `document`.
+        """Return the `Configuration` or `caperstack.platform.entries.ServerEntry` in `document`.
 
         Raises
         ------
@@ -151,9 +105,11 @@
         try:
             if key == CONFIGURATION_KEY:
                 return _configuration(msgspec.convert(document, _Configuration))
-            return _server_entry(key, document)
         except (msgspec.MsgspecError, ValueError) as error:
             raise ConfigurationError(str(error), step=key) from None
+        entry = parse_entry(key, document)
+        self._births.check(entry)
+        return entry
 
     def compile(self, parsed):
         """Return the `RoutingTable` of what is held, by key."""
@@ -176,34 +132,6 @@
         return CONFIGURATION_KEY in parsed
 
 
-def server_document(document):
-    """Return what matters in a server's entry: all but its heartbeat and its age."""
-    server = msgspec.convert(document, _Server)
-    return {
-        "service": server.info.service,
-        "address": server.address,
-        "zone": server.info.zone,
-        "slots": server.info.slots,
-        "state": server.status.state,
-    }
-
-
-def _server_entry(key, document):
-    leaving = DRAINING.get(document.get("state"))
-    if leaving is None:
-        raise ValueError(f"state: {document.get('state')!r} is unknown")
-    split_address(document["address"])
-    return ServerEntry(
-        instance=key.removeprefix(SERVERS_PREFIX),
-        service=document["service"],
-        address=document["address"],
-        zone=document["zone"],
-        slots=document["slots"],
-        leaving=leaving,
-        created=document["created"],
-    )
-
-
 def _configuration(wire):
     services = {
         row.name: ServiceLimits(row.health_path, row.connections)
--- a/caperstack/platform/reader.py
+++ b/caperstack/platform/reader.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from caperstack.clock import deadline_after, now
-from caperstack.exception import PlatformError
-from caperstack.platform.items import server_document
+from caperstack.exception import ConfigurationError, PlatformError
+from caperstack.platform.entries import decode_entry, without_births
 from caperstack.platform.names import CONFIGURATION_KEY, SERVERS_PREFIX
 from caperstack.settings.neighbours import Topology
 
@@ -40,6 +40,11 @@
 EVERYTHING = ""
 ALL_AT_ONCE_BYTES = 48 * 1024
 
+#: Foreign entries that are told in the log, one line each, and how much of the
+#: reason, in characters.
+FOREIGN_TOLD_MOST = 200
+REASON_MOST = 200
+
 
 class StoreReader:
     """Read the store in turn with all other nodes, and tell them that it was read.
@@ -62,6 +67,7 @@
         self._resume_at = 0.0
         self._behind_until = 0.0
         self._returning_until = 0.0
+        self._foreign = set()
         self._task = None
 
     async def start(self, kernel):
@@ -162,7 +168,7 @@
             self._note_gap(began)
         self._take_configuration(reads[0])
         self._take_servers(reads[-1])
-        size = sum(len(item.value) for read in reads for item in read.items)
+        size = sum(len(item.value or b"") for read in reads for item in read.items)
         self._all_at_once = size <= ALL_AT_ONCE_BYTES
 
     def _take_configuration(self, read):
@@ -174,34 +180,53 @@
 
     def _decoded(self, item):
         try:
-            return msgspec.json.decode(item.value)
-        except msgspec.MsgspecError as error:
+            return msgspec.json.decode(item.value or b"")
+        except (msgspec.MsgspecError, RecursionError) as error:
             self._events.state(item.key, "offered", f"refused, not JSON: {error}")
             return None
 
     def _take_servers(self, read):
-        listed = set()
-        for item in read.items:
-            if item.key.startswith(SERVERS_PREFIX):
-                listed.add(item.key)
-                self._take_server(item)
+        items = {i.key: i for i in read.items if i.key.startswith(SERVERS_PREFIX)}
+        entries = {}
+        foreign = {}
+        for key, item in items.items():
+            try:
+                entries[key] = decode_entry(key, item.value, item.created)
+            except ConfigurationError as error:
+                foreign[key] = error.message
+        for key in without_births(entries):
+            foreign[key] = "born: missing"
+            del entries[key]
+        self._withdraw_foreign(foreign, items)
+        for key, entry in entries.items():
+            self._take_server(items[key], entry)
         if now() < self._returning_until:
             return
         for held in self._settings.held():
-            missing = held.path.startswith(SERVERS_PREFIX) and held.path not in listed
+            missing = held.path.startswith(SERVERS_PREFIX) and held.path not in items
             if missing and not held.deleted:
                 self._settings.take(held.path, read.revision, None, "store")
 
-    def _take_server(self, item):
-        document = self._decoded(item)
-        if document is None:
-            return
-        try:
-            entry = server_document(document)
-        except msgspec.MsgspecError as error:
-            self._events.state(item.key, "offered", f"refused: {error}")
-            return
-        entry["created"] = item.created
+    def _withdraw_foreign(self, foreign, items):
+        """Name no backend server by entries that no backend server writes.
+
+        Notes
+        -----
+        Failure: another writer puts something else in the place of a good
+        entry.  The last good one would be called on though its server may be
+        long gone; where it lives, its next heartbeat brings the entry back.
+        """
+        for key, reason in foreign.items():
+            held = self._settings.get(key)
+            if held is not None and not held.deleted:
+                self._settings.take(key, items[key].revision, None, "store")
+            if key not in self._foreign and len(self._foreign) < FOREIGN_TOLD_MOST:
+                self._foreign.add(key)
+                self._metrics.count("foreign_entries")
+                self._events.line("foreign entry", key=key, reason=reason[:REASON_MOST])
+        self._foreign &= foreign.keys()
+
+    def _take_server(self, item, entry):
         held = self._settings.get(item.key)
         # The heartbeat raises the item's revision all the time; only what
         # changed in substance is news to others.
--- a/caperstack/platform/standin/instance.py
+++ b/caperstack/platform/standin/instance.py
@@ -72,6 +72,8 @@
         Every run, in order.
     seen : list of dict
         The headers of each request that ran, with its method, target and body.
+    born_ms : int
+        When it started, in milliseconds since 1970.
     broken_off : int
         Requests whose connection closed while they ran.
     """
@@ -80,6 +82,7 @@
     service: str
     name: str
     slots: int = 8
+    born_ms: int = 1_790_000_000_000
     conduct: Conduct = field(default_factory=Conduct)
     runs: Counter = field(default_factory=Counter)
     ledger: list = field(default_factory=list)
@@ -99,12 +102,21 @@
         self._server.stop()
         await self._server.close_all_connections()
 
+    async def restart(self):
+        """End with all that it runs, and start again under the same name."""
+        for task in list(self._tasks):
+            task.cancel()
+        await self.stop()
+        self.born_ms += 1000
+        await self.start()
+
     def entry(self, zone, state="ready"):
         """Return the document under which the server registers itself."""
         return {
             "address": self.address,
             "info": {"service": self.service, "version": "v1", "zone": zone, "slots": self.slots},
             "status": {"state": state, "sequence": 1, "coldLeft": "0ms"},
+            "born": self.born_ms,
         }
 
     def _accept(self, request):
--- a/caperstack/platform/store.py
+++ b/caperstack/platform/store.py
@@ -38,10 +38,16 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreItem:
-    """One item: its value as bytes, the revision of its last change and of its creation."""
+    """One item, with the revisions of its last change and of its creation.
+
+    Attributes
+    ----------
+    value : bytes or None
+        ``None`` if it was not encoded as the store encodes.
+    """
 
     key: str
-    value: bytes
+    value: bytes | None
     revision: int
     created: int
 
@@ -144,8 +150,10 @@
 
 
 def _store_item(item):
+    # Failure: one value that can't be read fails the whole reading, for as long
+    # as it lies there, and nobody learns of any other server.
     try:
         value = base64.b64decode(item.value, validate=True)
-    except ValueError as error:
-        raise PlatformError(f"value is not base64: {error}", step="item", peer=item.key) from None
+    except ValueError:
+        value = None
     return StoreItem(item.key, value, item.revision, item.created)
--- a/caperstack/platform/tests/test_decoding.py
+++ b/caperstack/platform/tests/test_decoding.py
@@ -15,7 +15,7 @@
 from caperstack.platform.__main__ import main
 from caperstack.platform.boot import parse_boot
 from caperstack.platform.durations import seconds_of
-from caperstack.platform.items import StoreCodec, server_document
+from caperstack.platform.items import StoreCodec
 from caperstack.platform.names import BOOT_VARIABLE, CONFIGURATION_KEY
 from caperstack.platform.standin.fleet import PlatformFleet, route_row
 
@@ -124,16 +124,3 @@
             with self.assertRaises(ConfigurationError) as caught:
                 self.parse(document)
             self.assertIn(field, str(caught.exception))
-
-    def test_heartbeat_is_no_change(self):
-        host = FLEET.hosts[0]
-        first = host.instance.entry("a")
-        second = json.loads(json.dumps(first))
-        second["status"]["sequence"] = 99
-        self.assertEqual(server_document(first), server_document(second))
-
-    def test_unknown_state_is_refused(self):
-        document = server_document(FLEET.hosts[0].instance.entry("a")) | {"created": 1}
-        with self.assertRaises(ConfigurationError) as caught:
-            StoreCodec().parse("servers/i", document | {"state": "dancing"})
-        self.assertIn("dancing", str(caught.exception))
--- /dev/null
+++ b/caperstack/platform/tests/test_entries.py
@@ -0,0 +1,322 @@
+"""Entries of backend servers: taken whole, or foreign; and which start of a server holds."""
+
+import copy
+import json
+import unittest
+from unittest import mock
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from caperstack.addresses import split_address
+from caperstack.exception import ConfigurationError
+from caperstack.platform.entries import ServerEntry, decode_entry
+from caperstack.platform.items import StoreCodec
+from caperstack.platform.reader import StoreReader
+from caperstack.platform.standin.fleet import PlatformFleet
+from caperstack.platform.store import StoreItem, StoreRead
+from caperstack.settings.store import SettingsStore
+
+FLEET = PlatformFleet(["slots", "slots", "rates"], [])
+BORN = 1_790_000_000_000
+
+
+def registered(number=0, **changes):
+    """Return what the server of that host writes; `changes` are of its top level."""
+    host = FLEET.hosts[number]
+    return host.instance.entry(host.zone) | {"born": BORN + number} | changes
+
+
+def decoded(document, key="servers/i-1"):
+    """Return the `ServerEntry` of a document as the store holds it."""
+    return StoreCodec().parse(key, decode_entry(key, json.dumps(document).encode(), 7))
+
+
+class ReaderCase(unittest.TestCase):
+    """A `StoreReader` that is handed readings, and the settings that it fills."""
+
+    def setUp(self):
+        self.begin()
+
+    def begin(self):
+        self.events = mock.Mock()
+        self.settings = SettingsStore(StoreCodec())
+        self.settings._events = self.events
+        self.settings._metrics = mock.Mock()
+        self.reader = StoreReader(FLEET.hosts[0].boot, None)
+        self.reader._settings = self.settings
+        self.reader._events = self.events
+        self.reader._metrics = mock.Mock()
+        self.revision = 10
+
+    def read(self, values):
+        """Take a reading of `values`, bytes by key, each written since the last one."""
+        self.revision += 10
+        items = [StoreItem(key, value, self.revision, 1) for key, value in values.items()]
+        self.reader._take_servers(StoreRead(items, self.revision))
+
+    def entry(self, key):
+        """Return the `ServerEntry` held under that key, or ``None``."""
+        held = self.settings.get(key)
+        return None if held is None else held.parsed
+
+    def foreign_lines(self):
+        lines = [c for c in self.events.line.call_args_list if c.args[0] == "foreign entry"]
+        return [(line.kwargs["key"], line.kwargs["reason"]) for line in lines]
+
+
+def good_values():
+    """Return three good entries as the store holds them, by key."""
+    return {f"servers/i-{n}": json.dumps(registered(n)).encode() for n in range(3)}
+
+
+class TestDecoding(unittest.TestCase):
+    """`decode_entry` and `parse_entry`."""
+
+    def test_entry_is_decoded_whole(self):
+        entry = decoded(registered())
+        host = FLEET.hosts[0]
+        self.assertEqual((entry.instance, entry.service), ("i-1", "slots"))
+        self.assertEqual((entry.host, entry.zone, entry.slots), (host.ip, host.zone, 8))
+        self.assertEqual((entry.leaving, entry.born_ms, entry.created), (False, BORN, 7))
+
+    def test_heartbeat_is_no_change(self):
+        first, second = registered(), registered()
+        second["status"]["sequence"] = 99
+        values = [decode_entry("servers/i", json.dumps(d).encode(), 1) for d in (first, second)]
+        self.assertEqual(*values)
+
+    def test_new_start_under_the_same_name_is_a_change(self):
+        values = [registered(born=born) for born in (BORN, BORN + 1)]
+        documents = [decode_entry("servers/i", json.dumps(v).encode(), 1) for v in values]
+        self.assertNotEqual(*documents)
+
+    def test_servers_that_tell_no_birth_are_taken(self):
+        document = registered()
+        del document["born"]
+        self.assertEqual(decoded(document).born_ms, 0)
+
+    def assert_foreign(self, document, part):
+        with self.assertRaises(ConfigurationError) as caught:
+            decoded(document)
+        self.assertIn(part, str(caught.exception))
+
+    def test_missing_fields(self):
+        for name in ("address", "info", "status"):
+            document = registered()
+            del document[name]
+            self.assert_foreign(document, name)
+        for place, names in (
+            ("info", ("service", "version", "zone", "slots")),
+            ("status", ("state", "sequence", "coldLeft")),
+        ):
+            for name in names:
+                document = registered()
+                del document[place][name]
+                self.assert_foreign(document, name)
+
+    def test_fields_of_another_type(self):
+        cases = {
+            "born": (None, "1790000000000", 1.5, 1.79e12, True, 0, -5, 10**30, []),
+            "address": (
+                None,
+                5,
+                "",
+                "10.0.0.1",
+                "host:80",
+                "10.0.0.1:0",
+                "10.0.0.1:８０",
+                "[::1]:80",
+            ),
+            "info": (None, [], "x", {}),
+            "status": (None, [], {}),
+        }
+        for name, values in cases.items():
+            for value in values:
+                self.assert_foreign(registered(**{name: value}), "")
+
+    def test_slots_state_and_cold_time(self):
+        cases = {
+            ("info", "slots"): (0, -1, 2.0, "8", True, 10**30, None),
+            ("status", "state"): ("dancing", "", None, 1, "READY"),
+            ("status", "coldLeft"): ("soon", 5, "infs", "nanms", None),
+            ("status", "sequence"): ("1", None, 1.5),
+        }
+        for (place, name), values in cases.items():
+            for value in values:
+                document = registered()
+                document[place][name] = value
+                self.assert_foreign(document, "")
+
+    def test_bytes_that_cannot_be_read(self):
+        for value in (None, b"", b"{", b"\xff\xfe", b"null", b"[" * 100_000, b'{"a":NaN}'):
+            with self.assertRaises(ConfigurationError):
+                decode_entry("servers/i", value, 1)
+
+    def test_keys_that_name_no_instance(self):
+        value = json.dumps(registered()).encode()
+        for key in ("servers/", "servers/a b", "servers/a\r\nX: y", "servers/é", "servers/a/b"):
+            with self.assertRaises(ConfigurationError):
+                decode_entry(key, value, 1)
+
+    def test_peers_word_is_checked_too(self):
+        for document in ({}, [], None, {"service": "s"}, {"address": 5}):
+            with self.assertRaises(ConfigurationError):
+                StoreCodec().parse("servers/i", document)
+
+
+class TestForeignEntries(ReaderCase):
+    """What another writer puts into the store names no server, and hurts no other."""
+
+    def test_broken_entry_takes_the_place_of_a_good_one(self):
+        # Another writer overwrites the entry of one server. It is named no more
+        # until its next heartbeat; the others hold all the while.
+        self.read(good_values())
+        self.read(good_values() | {"servers/i-1": b'{"state":"ready"}'})
+        self.assertIsNone(self.entry("servers/i-1"))
+        self.assertEqual(self.entry("servers/i-2").service, "rates")
+        self.read(good_values())
+        self.assertEqual(self.entry("servers/i-1").service, "slots")
+
+    def test_each_is_told_once(self):
+        for _ in range(5):
+            self.read(good_values() | {"servers/x": None, "servers/y": b"\x00"})
+        self.assertEqual([key for key, _ in self.foreign_lines()], ["servers/x", "servers/y"])
+        self.assertIn("base64", self.foreign_lines()[0][1])
+
+    def test_entry_without_a_birth_is_foreign_where_others_tell_theirs(self):
+        document = registered(1)
+        del document["born"]
+        self.read(good_values() | {"servers/x": json.dumps(document).encode()})
+        self.assertIsNone(self.entry("servers/x"))
+        self.assertEqual(self.foreign_lines(), [("servers/x", "born: missing")])
+
+    def test_one_entry_with_a_birth_makes_no_other_foreign(self):
+        documents = {key: json.loads(value) for key, value in good_values().items()}
+        for document in documents.values():
+            del document["born"]
+        values = {key: json.dumps(document).encode() for key, document in documents.items()}
+        self.read(values | {"servers/x": json.dumps(registered(0)).encode()})
+        for key in values:
+            self.assertIsNotNone(self.entry(key))
+
+    mutations = st.lists(
+        st.tuples(
+            st.sampled_from(
+                [
+                    ("address",),
+                    ("born",),
+                    ("info",),
+                    ("status",),
+                    ("info", "service"),
+                    ("info", "slots"),
+                    ("info", "zone"),
+                    ("info", "version"),
+                    ("status", "state"),
+                    ("status", "sequence"),
+                    ("status", "coldLeft"),
+                ]
+            ),
+            st.one_of(
+                st.just("remove"),
+                st.none(),
+                st.booleans(),
+                st.integers(),
+                st.integers(min_value=2**62, max_value=2**80),
+                st.floats(allow_nan=False, allow_infinity=False),
+                st.text(max_size=20),
+                st.lists(st.integers(), max_size=3),
+                st.dictionaries(st.text(max_size=5), st.integers(), max_size=2),
+            ),
+        ),
+        min_size=1,
+        max_size=3,
+    )
+    cuts = st.one_of(st.none(), st.binary(max_size=40), st.integers(min_value=0, max_value=200))
+    keys = st.one_of(st.just("i-1"), st.text(max_size=12))
+
+    @settings(max_examples=2500, deadline=None, suppress_health_check=[HealthCheck.too_slow])
+    @given(mutations, cuts, keys)
+    def test_whatever_is_written_the_others_hold(self, mutations, cut, name):
+        self.begin()
+        self.read(good_values())
+        key = f"servers/{name}"
+        value = mutated(registered(1), mutations, cut)
+        self.read(good_values() | {key: value})
+        for other in good_values().keys() - {key}:
+            self.assertEqual(self.entry(other).slots, 8)
+        entry = self.entry(key)
+        if entry is not None:
+            self.assert_true_to(entry, json.loads(value))
+
+    def assert_true_to(self, entry, document):
+        self.assertIsInstance(entry, ServerEntry)
+        self.assertEqual(entry.address, document["address"])
+        self.assertEqual(entry.service, document["info"]["service"])
+        self.assertIn(document["status"]["state"], ("ready", "draining"))
+        self.assertIs(type(entry.slots), int)
+        self.assertGreater(entry.slots, 0)
+        split_address(entry.address)
+
+
+def mutated(document, mutations, cut):
+    """Return the bytes of `document` with fields changed, then cut or replaced."""
+    document = copy.deepcopy(document)
+    for path, value in mutations:
+        place = document
+        for name in path[:-1]:
+            place = place.get(name) if isinstance(place, dict) else None
+        if not isinstance(place, dict):
+            continue
+        if value == "remove":
+            place.pop(path[-1], None)
+        else:
+            place[path[-1]] = value
+    data = json.dumps(document).encode()
+    if isinstance(cut, bytes):
+        return cut
+    return data if cut is None else data[:cut]
+
+
+class TestBirths(ReaderCase):
+    """Which start of a server holds, whoever tells of it."""
+
+    def write(self, born, state="ready", number=1):
+        document = registered(number, born=born)
+        document["status"]["state"] = state
+        self.read(good_values() | {"servers/i-1": json.dumps(document).encode()})
+
+    def test_new_start_lifts_the_draining_mark(self):
+        self.write(BORN + 5, "draining")
+        self.assertTrue(self.entry("servers/i-1").leaving)
+        self.write(BORN + 9)
+        self.assertFalse(self.entry("servers/i-1").leaving)
+        self.assertEqual(self.entry("servers/i-1").born_ms, BORN + 9)
+
+    def test_older_birth_never_wins(self):
+        # A server has started again. Then a late write of its former run
+        # reaches the store, at a higher revision, and a peer repeats it.
+        self.write(BORN + 9)
+        self.write(BORN + 5, "draining")
+        self.assertEqual(self.entry("servers/i-1").born_ms, BORN + 9)
+        older = decode_entry("servers/i-1", json.dumps(registered(1)).encode(), 1)
+        self.settings.take("servers/i-1", 10_000, older, "a peer")
+        self.assertEqual(self.entry("servers/i-1").born_ms, BORN + 9)
+
+    def test_older_birth_does_not_come_back_after_a_removal(self):
+        self.write(BORN + 9)
+        self.read({})
+        self.assertIsNone(self.entry("servers/i-1"))
+        self.write(BORN + 5)
+        self.assertIsNone(self.entry("servers/i-1"))
+
+    def test_refusals_are_told_once(self):
+        self.write(BORN + 9)
+        for _ in range(5):
+            self.write(BORN + 5)
+        told = [c for c in self.events.state.call_args_list if "older than" in str(c)]
+        self.assertEqual(len(told), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/caperstack/platform/tests/test_path.py
+++ b/caperstack/platform/tests/test_path.py
@@ -145,6 +145,75 @@
             self.assertEqual(self.fleet.runs(name), 1 if reply.code == 200 else 0)
         self.assertEqual(sum(self.first.instance.runs.values()), 0)
 
+    async def test_server_that_starts_again_under_its_name_is_a_new_one(self):
+        # A backend server ends with a listing and a booking at work and starts
+        # again under the same name; its old entry said that it drains.  The
+        # listing runs again elsewhere, the booking is never told as not run, and
+        # the new start gets work though the old one was leaving.
+        self.second.instance.conduct.refuse = True
+        self.first.instance.conduct.seconds = 20.0
+        asked = [
+            asyncio.create_task(self.fleet.ask(self.third, path, method, 10_000, name=name))
+            for path, method, name in (("/list/", "GET", "listing"), ("/book/x", "POST", "booking"))
+        ]
+
+        async def running():
+            return self.first.instance.running == 2
+
+        await self.until(running, "both run")
+        self.fleet.register(self.first, "draining")
+        await self.until(self.said_of(self.third, "listed as leaving"), "the mark is known")
+        self.first.instance.conduct.seconds = 0.0
+        self.second.instance.conduct.refuse = False
+        await self.first.instance.restart()
+        self.fleet.register(self.first)
+        (_, listing), (_, booking) = await asyncio.gather(*asked)
+        self.assertNotIn(booking.code, (200, 429, 503))
+        self.assertEqual(self.fleet.runs("booking"), 1)
+        self.assertIn(listing.code, (200, 502))
+        before = sum(self.first.instance.runs.values())
+
+        async def works():
+            await self.fleet.ask(self.third, "/list/")
+            return sum(self.first.instance.runs.values()) > before
+
+        await self.until(works, "the new start gets work")
+
+    async def test_foreign_entry_in_the_place_of_a_good_one_names_no_server(self):
+        # Another writer puts bytes of its own where a backend server had
+        # registered.  No call goes there until its next heartbeat; the other
+        # servers go on.
+        self.fleet.store.put_raw(f"servers/{self.first.instance.name}", b"\xffnothing")
+        self.fleet.store.put("servers/i-odd", {"state": "ready"})
+        await self.until(self.leaves_alone(self.first), "no new work")
+        _, reply = await self.fleet.ask(self.third, "/list/")
+        self.assertEqual(reply.code, 200)
+        told = [line for host in self.fleet.hosts for line in host.node.lines("foreign entry")]
+        self.assertIn("servers/i-odd", [line["key"] for line in told])
+        self.fleet.register(self.first)
+
+        async def works():
+            before = sum(self.first.instance.runs.values())
+            await self.fleet.ask(self.third, "/list/")
+            return sum(self.first.instance.runs.values()) > before
+
+        await self.until(works, "work again")
+
+    async def test_entry_of_a_service_that_nobody_configured_names_no_server(self):
+        self.first.instance.service = "nobody"
+        self.fleet.register(self.first)
+        await self.until(self.leaves_alone(self.first), "no new work")
+        _, reply = await self.fleet.ask(self.first, "/list/")
+        self.assertEqual(reply.code, 200)
+
+    def said_of(self, host, subject):
+        """Return a condition: the node of `host` has told a change of `subject`."""
+
+        async def condition():
+            return any(line["subject"] == subject for line in host.node.lines("state"))
+
+        return condition
+
     async def test_server_that_is_not_listed_gets_no_call_from_its_own_host(self):
         # A host loses power; its backend server's address has gone to one of
         # another service, which has yet to register, and the old entry is gone.
--- a/caperstack/routing/dispatch.py
+++ b/caperstack/routing/dispatch.py
@@ -160,12 +160,12 @@
             expected_ms=round(estimate.expected_seconds(state.usual_seconds) * 1000),
             load_age_ms=estimate.age_ms,
         )
-        member.estimate.begin()
+        estimate.begin()
         outcome = None
         try:
             outcome = await self._run(attempt, member)
         finally:
-            member.estimate.end()
+            estimate.end()
         self._learn(call, outcome, member, state, begun)
         call.notes.append((now(), f"{member.host}: {_short(outcome)}"))
         return outcome
--- a/caperstack/routing/estimates.py
+++ b/caperstack/routing/estimates.py
@@ -59,6 +59,24 @@
         self._ejected_until = 0.0
         self._ejections = 0
 
+    def restart(self):
+        """Another backend server, or another start of it, is there: forget all but own calls.
+
+        Notes
+        -----
+        Failure: a backend server that failed, or drained, starts again; it is
+        left alone for as long as its former run was to rest.
+        """
+        self._load = Load(limit=self._load.limit)
+        self._own_at_load = self.in_flight
+        self._heard_at = 0.0
+        self._published = 0
+        self._published_until = 0.0
+        self._failing = 0.0
+        self._results = 0
+        self._ejected_until = 0.0
+        self._ejections = 0
+
     @property
     def state(self):
         """The last `ServerState` heard."""
--- a/caperstack/settings/store.py
+++ b/caperstack/settings/store.py
@@ -138,9 +138,13 @@
         return True
 
     def _refuse(self, held, revision, reason):
+        told = held.refused_reason == reason
         held.refused_revision = revision
         held.refused_reason = reason
         self._metrics.count("settings_refused")
+        if told:
+            # One line for a fault, not one for each time that it is written again.
+            return
         self._events.state(f"settings {held.path or '/'}", "offered", f"refused: {reason}")
 
     def _parsed(self):
