Patience told by ratio; the pace is asked for only where no answer told it; caperstack-causes

Cause: callers of one kind differ in patience by 15 %. In classes of 50 ms first tries with 1.3 of 1.5 s counted as callers who had waited, and callers with 0.2 of 0.4 s who came back as first tries. Change: classes by ratio, the band of first tries found by its shares; a probe only after an interval without an answer, one a second at least; the outcome lines of calls say how far their objective was; caperstack-causes joins log lines into what was lost, where and why.

--- a/caperstack/backend/pace.py
+++ b/caperstack/backend/pace.py
@@ -15,6 +15,10 @@
 #: an answer takes 1 ms where the backend server lives.
 REFRESH_SECONDS = 0.02
 
+#: Without answers that tell the pace there is a probe each interval; with them one
+#: a second at least, which shows the server's own health.
+HEALTH_SECONDS = 1.0
+
 #: Failed probes in a row that make a backend server count as down, unless it
 #: answers calls: then the calls are believed, not the health path.
 FAILURES_MOST = 3
@@ -42,6 +46,7 @@
         self._failures = 0
         self._probes = 0
         self._paced = False
+        self._told_at = 0.0
         self._asking = None
         self._task = None
 
@@ -61,13 +66,28 @@
     def _take_report(self, report):
         if report.slots:
             self._paced = True
+            self._told_at = now()
             self._owner.set_pace(report.pace)
 
     async def _ask_for_ever(self):
         while True:
-            due = deadline_after(self._interval())
             await self._ask()
-            await asyncio.sleep(max(0.0, due - now()))
+            await self._until_stale(now())
+
+    async def _until_stale(self, asked_at):
+        """Wait until no answer has told the pace for an interval, or a health check is due.
+
+        Notes
+        -----
+        Each answer to a call brings the pace.  Asked beside them, a busy server
+        got 12 questions a second that told nothing new, two in three of all.
+        """
+        while True:
+            told_at = max(asked_at, self._told_at)
+            due = min(told_at + self._interval(), asked_at + HEALTH_SECONDS)
+            if due <= now():
+                return
+            await asyncio.sleep(due - now())
 
     async def refresh(self):
         """Ask now, for all who want to know, and wait a moment for the answer."""
--- /dev/null
+++ b/caperstack/backend/tests/test_pace.py
@@ -0,0 +1,84 @@
+"""How often a backend server is asked for the pace of its host."""
+
+import asyncio
+import unittest
+from types import SimpleNamespace
+
+from caperstack.backend.pace import PaceProbe
+from caperstack.calls.dialect import ServerReport
+from caperstack.calls.model import Answered
+from caperstack.play.virtual import run_virtual
+
+REPORT = ServerReport("i", 1, 0, 8, 1.0)
+
+
+class FakeServer:
+    """Answers probes, and tells the pace with them and with answers to calls."""
+
+    def __init__(self):
+        self.probes = 0
+        self._on_report = None
+
+    def listen(self, on_report):
+        self._on_report = on_report
+
+    async def probe(self, _path, _deadline):
+        self.probes += 1
+        await asyncio.sleep(0.001)
+        self._on_report(REPORT)
+        return Answered(200, "OK", [], b"")
+
+    async def answer_calls(self, seconds, gap):
+        for _ in range(round(seconds / gap)):
+            await asyncio.sleep(gap)
+            self._on_report(REPORT)
+
+
+class TestPaceProbe(unittest.TestCase):
+    """`PaceProbe` in virtual time, at ten probes a second."""
+
+    def play(self, work):
+        async def played():
+            server = FakeServer()
+            owner = SimpleNamespace(
+                node_leaves=False,
+                answering=True,
+                expect_pace=lambda refresh: None,
+                set_pace=lambda pace: None,
+                set_health=lambda state: None,
+            )
+            services = {
+                "owner": owner,
+                "backend client": server,
+                "metrics": SimpleNamespace(count=lambda *_, **__: None),
+            }
+            probe = PaceProbe(lambda: "/health", lambda: 10.0)
+            await probe.start(SimpleNamespace(find=services.__getitem__))
+            await work(server)
+            await probe.stop()
+            return server.probes
+
+        return run_virtual(played)
+
+    def test_idle_server_is_asked_at_the_rate(self):
+        self.assertAlmostEqual(self.play(lambda _: asyncio.sleep(10.0)), 100, delta=4)
+
+    def test_answers_take_the_place_of_questions(self):
+        # Fifty answers a second tell all that questions would: from 100
+        # questions in ten seconds to the ten that show the server's health.
+        probes = self.play(lambda server: server.answer_calls(10.0, 0.02))
+        self.assertLessEqual(probes, 12)
+        self.assertGreaterEqual(probes, 9)
+
+    def test_questions_go_on_when_answers_stop(self):
+        async def work(server):
+            await server.answer_calls(5.0, 0.02)
+            before = server.probes
+            await asyncio.sleep(2.0)
+            self.assertGreaterEqual(server.probes - before, 18)
+
+        self.play(work)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/caperstack/callers/patience.py
+++ b/caperstack/callers/patience.py
@@ -1,12 +1,16 @@
 """How long callers of a route wait in all, and so how long one has waited already."""
 
+import math
+from dataclasses import dataclass
+
 __all__ = ["Patience"]
 
-#: Width of the classes of time left that are told apart, in seconds.
-STEP_SECONDS = 0.05
+#: Times left that differ by less than this factor are told as one class.
+STEP = 1.05
 
-#: A class that holds this share of the calls is that of first tries.  Callers
-#: who come back have all kinds of time left; a few wait longer than the rest.
+#: A class that holds this share of the calls belongs to first tries, and so do
+#: those next below it that hold as much: callers of one kind differ in patience
+#: by a sixth or so.  Callers who come back have all kinds of time left.
 USUAL_SHARE = 0.1
 
 #: Calls before which nothing is known.
@@ -19,6 +23,22 @@
 ROUTES_MOST = 500
 
 
+@dataclass(slots=True)
+class _Class:
+    """Calls with about the same time left: how many, and the sum of it in seconds."""
+
+    calls: float = 0.0
+    seconds: float = 0.0
+
+    def add(self, seconds):
+        self.calls += 1
+        self.seconds += seconds
+
+    def halve(self):
+        self.calls /= 2
+        self.seconds /= 2
+
+
 class Patience:
     """Tell callers who come back from those who ask for the first time.
 
@@ -30,6 +50,10 @@
     be in time.  How much less time it has left than usual tells how long it
     has waited already.
 
+    Classes are by ratio, not by seconds.  Failure: with classes of 50 ms first
+    tries with 1.3 to 1.5 s left counted as callers who had waited for up to
+    0.2 of their 0.6 s, and one with 0.2 s left of 0.4 as a first try.
+
     Examples
     --------
     >>> patience = Patience()
@@ -49,13 +73,33 @@
             if len(self._routes) >= ROUTES_MOST:
                 self._routes.clear()
             classes = self._routes[route] = {}
-        step = round(time_left / STEP_SECONDS)
-        classes[step] = classes.get(step, 0) + 1
-        total = sum(classes.values())
+        step = math.floor(math.log(max(time_left, 0.001), STEP))
+        classes.setdefault(step, _Class()).add(time_left)
+        total = sum(one.calls for one in classes.values())
         if total < KNOWN_AFTER:
             return 0.0
+        first_tries = _first_tries(classes, USUAL_SHARE * total)
         if total >= HALVE_AFTER:
-            classes = self._routes[route] = {s: n / 2 for s, n in classes.items() if n >= 2}
-        usual = max((s for s, n in classes.items() if n >= USUAL_SHARE * total), default=step)
-        waited = usual * STEP_SECONDS - time_left
-        return round(waited, 3) if waited > 2 * STEP_SECONDS else 0.0
+            _halve(classes)
+        if not first_tries or step >= min(first_tries) - 1:
+            return 0.0
+        usual = sum(classes[s].seconds for s in first_tries)
+        usual /= sum(classes[s].calls for s in first_tries)
+        return round(usual - time_left, 3)
+
+
+def _first_tries(classes, least):
+    """Return the steps of the highest class of at least `least` calls and of those next to it."""
+    steps = []
+    for step in sorted((s for s, one in classes.items() if one.calls >= least), reverse=True):
+        if steps and step < steps[-1] - 1:
+            break
+        steps.append(step)
+    return steps
+
+
+def _halve(classes):
+    for step in list(classes):
+        classes[step].halve()
+        if classes[step].calls < 1:
+            del classes[step]
--- /dev/null
+++ b/caperstack/events/causes_main.py
@@ -0,0 +1,87 @@
+"""caperstack-causes: which requests were lost in the worst moments, and why, from logs."""
+
+import argparse
+import fileinput
+import sys
+
+from caperstack import __version__
+from caperstack.events.causes import read_stories, windows_of
+
+__all__ = ["main"]
+
+EXIT_BAD_ARGUMENTS = 2
+
+#: Causes shown of a window.
+CAUSES_SHOWN = 8
+
+
+def _parser():
+    parser = argparse.ArgumentParser(
+        prog="caperstack-causes",
+        description=(
+            "Join the log lines of all nodes by request and print, for the whole time and for its "
+            "worst windows, how many requests were refused, late or failed, and why. Calls that "
+            "backend servers make count under their own route; give these a worth of 0."
+        ),
+    )
+    parser.add_argument("logs", nargs="*", help="log files; standard input if none")
+    parser.add_argument("--seconds", type=float, default=2.0, help="length of a window")
+    parser.add_argument("--worst", type=int, default=2, help="how many windows to show")
+    parser.add_argument(
+        "--worth", action="append", default=[], metavar="ROUTE=WORTH", help="of an answer in time"
+    )
+    parser.add_argument("--version", action="version", version=f"%(prog)s {__version__}")
+    return parser
+
+
+def _worths(texts):
+    """Return what an answer is worth, by route.
+
+    Raises
+    ------
+    ValueError
+        If a text is not ``ROUTE=WORTH``.
+    """
+    pairs = [text.rpartition("=") for text in texts]
+    return {route: float(worth) for route, _, worth in pairs}
+
+
+def _table(title, windows):
+    """Yield the lines that tell what was lost in `windows` together."""
+    asked = sum(window.asked for window in windows)
+    owed = sum(window.owed for window in windows)
+    lost = sum((window.lost for window in windows), start=type(windows[0].lost)())
+    counts = sum((window.counts for window in windows), start=type(lost)())
+    full = sum((window.full for window in windows), start=type(lost)())
+    credit = 1 - sum(lost.values()) / owed if owed else 1.0
+    yield f"{title}: {asked} requests, credit {credit:.3f}"
+    for (route, cause), worth in lost.most_common(CAUSES_SHOWN):
+        share = worth / owed if owed else 0.0
+        yield f"  {share:6.3f} of the worth, {counts[route, cause]:6} requests  {route}  {cause}"
+    for what, count in full.most_common():
+        yield f"  {count:6} refusals for want of a slot: {what}"
+
+
+def main(arguments=None):
+    """Run the command line; return the exit status."""
+    options = _parser().parse_args(arguments)
+    try:
+        worths = _worths(options.worth)
+        with fileinput.input(options.logs or ("-",), encoding="utf-8", errors="replace") as lines:
+            stories, left_out = read_stories(lines)
+    except (OSError, ValueError) as error:
+        print(f"caperstack-causes: {error}", file=sys.stderr)
+        return EXIT_BAD_ARGUMENTS
+    windows = windows_of(stories, options.seconds, worths)
+    if not windows:
+        print("caperstack-causes: no request's end in these lines", file=sys.stderr)
+        return EXIT_BAD_ARGUMENTS
+    print("\n".join(_table("all", windows)))
+    for window in sorted(windows, key=lambda window: window.credit)[: options.worst]:
+        print("\n".join(_table(f"from {window.begins:g} s", [window])))
+    print(f"{left_out} lines were left out by the nodes to keep the log bounded")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/caperstack/events/ring.py
+++ b/caperstack/events/ring.py
@@ -111,6 +111,7 @@
             id=call.request_id,
             outcome=_ending(outcome, elapsed),
             left_ms=round((call.deadline - now()) * 1000),
+            objective_ms=round(((call.objective_at or call.deadline) - now()) * 1000),
         )
         fine = isinstance(outcome, Answered) and outcome.status < 500
         if fine and elapsed < SLOW_SECONDS and self._calls % SAMPLE_ONE_IN:
