How many calls run at once is learnt; the wait by the rate of starts is gone; execution apart from the owner

Cause: four fifths of the slots was the figure of one kind of server. An owner sees how work times move with the calls at once. Change: admission/knee.py: one start in 32 with one call fewer, one with one more while others wait; the limit moves when the server gets more done with these by three standard errors; trials beyond a known slope become rare. Owner._dispatch is Execution.run. Ruled out: calls that start with fewer at once by themselves as evidence (they start at other times, when nested calls wait less).

--- a/caperstack/admission/gate.py
+++ b/caperstack/admission/gate.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+from caperstack.admission.knee import Knee
 from caperstack.admission.limit import SlotLimit
 from caperstack.admission.queue import AdmissionQueue
 from caperstack.calls.model import VISIT_SECONDS, NotRun
@@ -21,6 +22,10 @@
 #: moment count as short: 15 ms beside 42 are 0.36 of it, 55 beside 290 0.19.
 SHORT_SHARE = 0.5
 
+#: A time counts as at most so many usual ones; what takes longer was met by a
+#: neighbour that came between two readings.
+RATIO_MOST = 3.0
+
 #: Waiting calls per slot that bound the queue's memory; what limits its length
 #: in practice is whether a call can still finish in time.
 QUEUE_PER_SLOT = 16
@@ -45,7 +50,9 @@
         self._share = share
         self._times = times
         self._pace = pace
-        self._limit = SlotLimit(self._used(slots), times)
+        self._slots = slots
+        self._knee = Knee(slots, self._used(slots))
+        self._limit = SlotLimit(self._knee.limit, times)
         self._queue = AdmissionQueue(slots * QUEUE_PER_SLOT)
         self._running = 0
 
@@ -72,8 +79,15 @@
 
     def resize(self, slots):
         """The backend server has so many slots from now on."""
-        self._limit.resize(self._used(slots))
-        self._queue.resize(slots * QUEUE_PER_SLOT)
+        if slots != self._slots:
+            self._slots = slots
+            self.restart()
+            self._queue.resize(slots * QUEUE_PER_SLOT)
+
+    def restart(self):
+        """Another backend server, or another start of it: nothing is learnt of it yet."""
+        self._knee = Knee(self._slots, self._used(self._slots))
+        self._limit.resize(self._knee.limit)
 
     def start_cold(self):
         """The backend server has just started: begin with few slots."""
@@ -196,8 +210,7 @@
         free = self._limit.limit - self._running
         ahead = max(0, self._queue.ahead_of(call, takes) + 1 - free)
         wait = VISIT_SECONDS if free > 0 else 0.0
-        wait += ahead * self._times.recent * self._pace.usual / self._limit.limit
-        return max(wait, self._queue.wait_by_rate(call, takes))
+        return wait + ahead * self._times.recent * self._pace.usual / self._limit.limit
 
     def release(self):
         """Give a slot back."""
@@ -207,8 +220,30 @@
     def start_waiting(self):
         """Start the calls that may start now: a slot is free, or the host is quick again."""
         self._limit.adjust()
-        while self._running < self._limit.limit:
+        while self._running < self._allowed():
             call = self._queue.admit_next(self._holds)
             if call is None:
                 return
             self._running += 1
+            if len(self._queue):
+                call.started_among = self._running
+                self._knee.note_start()
+
+    def _allowed(self):
+        """Return how many calls may be at work with the next that has waited."""
+        limit = self._limit.limit
+        return limit if limit < self._knee.limit else self._knee.allowed()
+
+    def note_time(self, call, ratio):
+        """Note the time of a call that ended, against its route's usual.
+
+        Returns
+        -------
+        bool
+            Whether other many calls may be at work at once from now on.
+        """
+        before = self._knee.limit
+        if call.started_among:
+            self._knee.note_time(call.started_among, min(ratio, RATIO_MOST))
+            self._limit.resize(self._knee.limit)
+        return self._knee.limit != before
--- a/caperstack/admission/limit.py
+++ b/caperstack/admission/limit.py
@@ -181,11 +181,18 @@
         self._started[key] = (now(), pace, route)
 
     def end(self, key, counts=True):
-        """Note that the call of that key ended; with `counts` its time is a sample."""
+        """Note that the call of that key ended; with `counts` its time is a sample.
+
+        Returns
+        -------
+        float
+            Its time against the usual one of its route; 0 if that is not known.
+        """
         start, pace, route = self._started.pop(key)
         elapsed = (now() - start) / pace
         if not counts:
-            return
+            return 0.0
+        usual = self.route_known(route)
         self._learn_route(route, elapsed)
         fast = elapsed if self._fast is None else self._faded()
         self._fast = fast + FAST_WEIGHT * (elapsed - fast)
@@ -195,6 +202,7 @@
         follows = gap < 0 or self._medium.count <= FIRST_CALLS
         self._usual += gap if follows else gap * min(1.0, seconds / USUAL_SECONDS)
         self._ended_at = now()
+        return elapsed / usual if usual else 0.0
 
     def _learn_route(self, route, elapsed):
         average = self._routes.get(route)
--- a/caperstack/admission/owner.py
+++ b/caperstack/admission/owner.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from caperstack.admission.arrivals import Arrivals
+from caperstack.admission.execution import Execution
 from caperstack.admission.gate import SlotGate
 from caperstack.admission.limit import FailureShare, ServiceTimes
 from caperstack.admission.memory import CallMemory
@@ -15,12 +16,9 @@
     Unknown,
 )
 from caperstack.clock import now, time_left
-from caperstack.exception import BackendError
 
 __all__ = ["Owner"]
 
-GATEWAY_TIMEOUT = 504
-
 #: A call starts on a reading of the pace that is at most so old, in seconds; each
 #: answer brings one.  At most 50 questions a second follow from it, of the 60
 #: that backend servers bear.
@@ -51,6 +49,9 @@
         self._listeners = []
         self._failures = FailureShare()
         self._published = 0
+        self._execution = Execution(
+            client, self._gate, self._times, self._pace, self._failures, self._standing
+        )
         self._memory = CallMemory()
         self._arrivals = None
         self._refresh = None
@@ -100,6 +101,7 @@
         """Find the services that this one needs."""
         self._metrics = kernel.find("metrics")
         self._events = kernel.find("events")
+        await self._execution.start(kernel)
         self._arrivals = Arrivals(
             self._standing, self._failures, self._times, self._pace, kernel.find("pauses")
         )
@@ -170,6 +172,7 @@
     def _start_anew(self, moved):
         self._failures.restart()
         self._times.restart()
+        self._gate.restart()
         self._client.restart()
         if self._refresh is not None:
             self._expect_reading()
@@ -300,7 +303,7 @@
                 self._refused(call, refusal)
                 return refusal
             record.dispatched = True
-            return await self._dispatch(call)
+            return await self._execution.run(call)
         finally:
             self._gate.release()
 
@@ -351,44 +354,6 @@
         if queued is not None:
             queued()
 
-    async def _dispatch(self, call):
-        self._times.begin((call.origin, call.id), self._pace.value, call.route)
-        call.notes.append((now(), "dispatched"))
-        self._events.decision(
-            "owner sends",
-            call,
-            instance=self._standing.instance,
-            running=self._gate.running,
-            limit=self._gate.limit,
-            pace=round(self._pace.value, 2),
-        )
-        counts = False
-        begun = now()
-        try:
-            answer = await self._client.fetch(call, self._standing.instance)
-            if isinstance(answer, NotRun):
-                return answer
-            counts = answer.status < 500 or answer.status == GATEWAY_TIMEOUT
-            self._metrics.time("backend_seconds", now() - begun, call.service)
-            self._standing.note_answer()
-            self._failures.add(answer.status >= 500)
-            return answer
-        except BackendError as error:
-            # Failure: a server so slow that no call ends before its deadline
-            # shows no time at all, looks as quick as ever, and draws calls.
-            counts = time_left(call.deadline) <= 0
-            self._failures.add(True)
-            return self._failure(call, error)
-        finally:
-            self._times.end((call.origin, call.id), counts)
-
-    def _failure(self, call, error):
-        self._metrics.backend_failed(error.message)
-        if not error.sent:
-            return NotRun(f"backend server unreachable: {error.message}", 0.2)
-        late = time_left(call.deadline) <= 0.002
-        return Unknown(error.message, 504 if late else 502)
-
 
 def _objective_ms(call):
     """Return how far the call's objective is away, for the log; negative once it is over."""
--- a/caperstack/admission/queue.py
+++ b/caperstack/admission/queue.py
@@ -2,18 +2,12 @@
 
 import asyncio
 import itertools
-from collections import deque
 from dataclasses import dataclass
 
 from caperstack.clock import now
 
 __all__ = ["AdmissionQueue", "Waiter"]
 
-#: The time over which starts from the queue are counted, in seconds, and how
-#: long calls must have waited without a break before the count says anything.
-RATE_SECONDS = 1.0
-RATE_AFTER_SECONDS = 0.5
-
 
 @dataclass(eq=False, slots=True)
 class Waiter:
@@ -70,8 +64,6 @@
         self._waiters = set()
         self._sequence = itertools.count()
         self.short_takes = 0.0
-        self._starts = deque()
-        self._busy_since = None
 
     def __len__(self):
         return len(self._waiters)
@@ -90,8 +82,6 @@
         future = asyncio.get_running_loop().create_future()
         waiter = Waiter(call, next(self._sequence), takes, future)
         future.add_done_callback(lambda _: self._waiters.discard(waiter))
-        if not self._waiters:
-            self._busy_since = now()
         self._waiters.add(waiter)
         return waiter
 
@@ -117,42 +107,9 @@
         first = min(ready, key=lambda waiter: waiter.rank(moment, self.short_takes), default=None)
         if first is None:
             return None
-        self._starts.append((moment, first.call.criticality))
         self._end(first, "")
         return first.call
 
-    def wait_by_rate(self, call, takes=0.0):
-        """Return how long `call` would wait at the pace of late, in seconds; 0 if unknown.
-
-        Notes
-        -----
-        Which load it answers: under a lasting overload an estimate from service
-        times is too good, since more critical calls keep going ahead and a
-        neighbour stops all starts now and then; calls were told to wait that
-        had no chance, and were refused when their time was nearly over.  How
-        many of the same or a lower criticality were started in the last second
-        counts all of that.
-        """
-        moment = now()
-        if not self._waiters or moment - self._busy_since < RATE_AFTER_SECONDS:
-            return 0.0
-        window = min(RATE_SECONDS, moment - self._busy_since)
-        while self._starts and self._starts[0][0] < moment - RATE_SECONDS:
-            self._starts.popleft()
-        started = sum(
-            1
-            for at, criticality in self._starts
-            if at >= moment - window and criticality <= call.criticality
-        )
-        mine = Waiter(call, next(self._sequence), takes, None).rank(moment, self.short_takes)
-        ahead = sum(
-            1
-            for waiter in self._open()
-            if waiter.call.criticality <= call.criticality
-            and waiter.rank(moment, self.short_takes) < mine
-        )
-        return (ahead + 1) * window / max(started, 0.5)
-
     def evict_for(self, call, takes=0.0):
         """Refuse the last waiting call if it would go after `call`.
 
--- /dev/null
+++ b/caperstack/admission/tests/test_knee.py
@@ -0,0 +1,84 @@
+"""The limit that is learnt from work times."""
+
+import random
+import unittest
+
+from caperstack.admission.knee import Knee
+
+SLOPE = 1.7
+
+
+class SteadyLoad:
+    """A server with more calls than slots, which slows down beyond a share of its slots."""
+
+    def __init__(self, slots, share, seed=1):
+        self.slots = slots
+        self._free = share * slots
+        self._rng = random.Random(seed)
+        self._usual = 1.0
+
+    def slowdown(self, at_once):
+        return SLOPE if at_once > self._free else 1.0
+
+    def done(self, at_once):
+        """Return what the server gets done with so many at once."""
+        return at_once / self.slowdown(at_once)
+
+    def run(self, knee, starts, drift=None):
+        """Start calls as `knee` allows; `drift(n)` slows the n-th start whatever its number."""
+        for number in range(starts):
+            at_once = knee.allowed()
+            knee.note_start()
+            slow = drift(number) if drift else 1.0
+            time = slow * self.slowdown(at_once) * self._rng.lognormvariate(-0.045, 0.3)
+            knee.note_time(at_once, time / self._usual)
+            # The usual time of the route follows what is measured.
+            self._usual += 0.01 * (time - self._usual)
+
+
+class TestKnee(unittest.TestCase):
+    """`Knee` on servers that slow down at half, most, nearly all or none of their slots."""
+
+    def learnt(self, slots, share, starts=60_000, drift=None):
+        knee = Knee(slots, max(1, int(0.8 * slots + 1e-9)))
+        load = SteadyLoad(slots, share)
+        load.run(knee, starts, drift)
+        return knee, load
+
+    def test_finds_the_best_or_nearly(self):
+        # At least 0.93 of what the best fixed limit gets done, wherever the slope is.
+        for slots in (3, 6, 11, 18, 300):
+            for share in (0.8, 0.95, 1.0):
+                knee, load = self.learnt(slots, share)
+                best = max(load.done(limit) for limit in range(1, slots + 1))
+                self.assertGreaterEqual(load.done(knee.limit), 0.93 * best, (slots, share))
+
+    def test_slope_below_the_first_limit_is_no_worse_than_at_first(self):
+        for slots in (3, 6, 11, 18, 300):
+            knee, load = self.learnt(slots, 0.5)
+            first = load.done(max(1, int(0.8 * slots + 1e-9)))
+            self.assertGreaterEqual(load.done(knee.limit), first, slots)
+
+    def test_work_that_is_slow_for_other_causes_changes_nothing(self):
+        # All calls take three times as long for a while, since calls of their
+        # own wait elsewhere: that is no sign of too many at once.
+        knee, _ = self.learnt(11, 0.8, drift=lambda number: 3.0 if number // 500 % 2 else 1.0)
+        self.assertEqual(knee.limit, 8)
+
+    def test_slope_is_noticed_within_few_calls(self):
+        # The limit stands above the slope: a few hundred starts mend it.
+        knee = Knee(11, 9)
+        SteadyLoad(11, 0.8).run(knee, 600)
+        self.assertEqual(knee.limit, 8)
+
+    def test_trials_beyond_a_slope_become_rare(self):
+        knee, load = self.learnt(11, 0.8)
+        beyond = 0
+        for _ in range(10_000):
+            beyond += knee.allowed() > knee.limit
+            load.run(knee, 1)
+        self.assertLess(beyond, 150)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/caperstack/admission/tests/test_owner.py
+++ b/caperstack/admission/tests/test_owner.py
@@ -436,6 +436,12 @@
         for task in tasks:
             task.cancel()
 
+    async def test_other_slots_begin_anew(self):
+        self.owner.resize(20)
+        self.assertEqual(self.owner.load.limit, 22)
+        self.owner.resize(10)
+        self.assertEqual(self.owner.load.limit, 11)
+
     async def test_slots_are_rounded_down(self):
         # With 9 of 11 calls at once a server is slower by more than the ninth
         # slot brings; a share of 0.8 is to keep it from there.
--- a/caperstack/calls/model.py
+++ b/caperstack/calls/model.py
@@ -129,6 +129,9 @@
         most; 0 if it is the deadline.
     attempts : int
         The most backend servers that it may be sent to.
+    started_among : int
+        How many calls its backend server had at work when it began, itself
+        included, if others waited on; else 0.
     notes : list of (float, str)
         What happened to the call here, for the time line.
     """
@@ -152,6 +155,7 @@
     route: str = ""
     objective_at: float = 0.0
     attempts: int = 3
+    started_among: int = 0
     notes: list = field(default_factory=list)
 
 
