A changed state is told to every connected entry, not only to those that call

Cause: a run of the tests beside a busy machine failed once: a backend server that starts again under its name got no call, since the entry that took it for leaving had not called for seconds, so the push went past it and it waited for its heartbeat two seconds later. Ruled out: a lost message; the connection was open and the next heartbeat told the state. Change: PeerPort._push tells a changed state to all connections; loads still go to callers only. Before: up to 2 s, after: at once.

--- a/caperstack/peers/port.py
+++ b/caperstack/peers/port.py
@@ -307,11 +307,21 @@
         return not 1 / PUSH_FACTOR < after / before < PUSH_FACTOR
 
     def _push(self, load):
+        """Tell `load` to the entries that call here, and a changed state to all.
+
+        Notes
+        -----
+        Failure: a backend server is listed again, or starts again, seconds after
+        its entry was gone.  Entries that take it for leaving do not call, so
+        they were not told, and left it alone until their next heartbeat two
+        seconds later; a call whose other servers were gone was refused.
+        """
+        changed = self._pushed is None or load.state != self._pushed.state
         self._pushed = load
         self._crowding_due = deadline_after(PUSH_CROWDING_SECONDS)
         message = State(load_report(load))
         for connection in list(self._connections):
-            if now() < connection.calls_until:
+            if changed or now() < connection.calls_until:
                 self._send(connection, message)
 
 
