A server's failures close its gate only where they exceed those of its peers

Cause: checks that the work of a service makes fail elsewhere, each of its servers answers errors, one gate after the other closes on servers that are well; they stand idle and the rest are full. Ruled out: no gate at all, which loses the gain at single failing servers. Change: the gate closes at half failures and at least 0.25 more than the median of the other servers.

--- a/caperstack/admission/arrivals.py
+++ b/caperstack/admission/arrivals.py
@@ -34,19 +34,22 @@
         How long work takes on the host now.
     pauses : object
         ``suspect()`` tells whether this process may have stood still.
+    members : caperstack.membership.members.Members
+        How many calls fail at the other servers of the service.
     """
 
-    def __init__(self, standing, failures, times, pace, pauses):
+    def __init__(self, standing, failures, times, pace, pauses, members):
         self._standing = standing
         self._failures = failures
         self._times = times
         self._pace = pace
         self._pauses = pauses
+        self._members = members
 
     def refusal(self, call):
         """Return the `NotRun` for a call that is refused at once, or ``None``."""
         refusal = self.barred(call) or self.too_late(call)
-        return refusal or (None if call.last else self._better_elsewhere())
+        return refusal or (None if call.last else self._better_elsewhere(call.service))
 
     def barred(self, call):
         """Return the `NotRun` for a call that the backend server must not get, or ``None``."""
@@ -57,9 +60,9 @@
             return NotRun("backend server is of another service", 0.0)
         return None
 
-    def _better_elsewhere(self):
+    def _better_elsewhere(self, service):
         """Return the `NotRun` for a call that has other servers left to try, or ``None``."""
-        if not self._failures.passes():
+        if not self._failures.passes(self._others_failing(service)):
             return NotRun("backend server fails", ELSEWHERE_SECONDS)
         if self._pace.slowed:
             return NotRun("host is slowed at this moment", ELSEWHERE_SECONDS)
@@ -67,6 +70,13 @@
             return NotRun("pace of the host is not known yet", ELSEWHERE_SECONDS)
         return None
 
+    def _others_failing(self, service):
+        """Return the share of calls that fail at the other servers, the median of them."""
+        here = self._members.here.host
+        members = self._members.of_service(service)
+        others = sorted(m.estimate.failing for m in members if m.host != here)
+        return others[len(others) // 2] if others else 0.0
+
     def too_late(self, call):
         """Return the `NotRun` for a call that must not be dispatched any more, or ``None``."""
         if self._pauses.suspect():
--- a/caperstack/admission/limit.py
+++ b/caperstack/admission/limit.py
@@ -52,8 +52,10 @@
 #: How long the limit rests after a change, in seconds.
 REST_SECONDS = 0.1
 
-#: The share of failures that closes the gate, and how often a call may probe.
+#: The share of failures that closes the gate, by how much more it must be than
+#: at the other servers of the service, and how often a call may probe.
 GATE_SHARE = 0.5
+GATE_MARGIN = 0.25
 PROBE_SECONDS = 0.1
 
 #: Service time that is assumed before the first call, in seconds, and the weight
@@ -228,6 +230,12 @@
     costs no retry, and lets a few through to see whether it is cured.  A call
     that has no other server to go to passes all the same: when all servers
     fail, their own errors tell the caller more than a refusal.
+
+    The gate stays open where the others fail about as often.  Failure: calls
+    that the work of a service makes fail elsewhere, and all its servers answer
+    errors.  One gate after the other closed on servers that were well; they
+    stood idle and the rest were full (three of six in a day; a play of it: a
+    credit of 0.667 in place of 0.728 without any gate).
     """
 
     def __init__(self):
@@ -239,9 +247,15 @@
         """The share as whole percent."""
         return int(self._share * 100)
 
-    def passes(self):
-        """Return whether a call that could go elsewhere may run here."""
-        if self._share < GATE_SHARE:
+    def passes(self, others=0.0):
+        """Return whether a call that could go elsewhere may run here.
+
+        Parameters
+        ----------
+        others : float
+            The share of failures at the other servers of the service.
+        """
+        if self._share < max(GATE_SHARE, others + GATE_MARGIN):
             return True
         if now() < self._probe_at:
             return False
--- a/caperstack/admission/owner.py
+++ b/caperstack/admission/owner.py
@@ -103,7 +103,12 @@
         self._events = kernel.find("events")
         await self._execution.start(kernel)
         self._arrivals = Arrivals(
-            self._standing, self._failures, self._times, self._pace, kernel.find("pauses")
+            self._standing,
+            self._failures,
+            self._times,
+            self._pace,
+            kernel.find("pauses"),
+            kernel.find("members"),
         )
 
     async def stop(self):
--- a/caperstack/admission/tests/test_owner.py
+++ b/caperstack/admission/tests/test_owner.py
@@ -47,11 +47,16 @@
         self.client = FakeClient()
         self.owner = Owner(SimpleNamespace(slots=2, slots_share=1.1), self.client)
         self.paused = False
+        self.others = []
+        self.members = SimpleNamespace(
+            here=SimpleNamespace(host="here"), of_service=lambda _service: self.others
+        )
         recorder = mock.Mock()
         services = {
             "metrics": recorder,
             "events": recorder,
             "pauses": SimpleNamespace(suspect=lambda: self.paused),
+            "members": self.members,
         }
         await self.owner.start(SimpleNamespace(find=services.__getitem__))
         self.later = deadline_after(1.0)
@@ -330,6 +335,16 @@
         self.client.answer(40)
         self.assertEqual(await last, GOOD)
 
+    async def test_server_that_fails_like_all_others_goes_on(self):
+        # Checks that the work of all servers of a service makes fail elsewhere;
+        # each of them answers errors.  Refused here, calls would find the
+        # others full, and this one would stand idle.
+        self.others = [
+            SimpleNamespace(host=host, estimate=SimpleNamespace(failing=0.8)) for host in "abc"
+        ]
+        outcomes = [await self.quick(number) for number in range(30)]
+        self.assertFalse(any(isinstance(outcome, NotRun) for outcome in outcomes))
+
     async def quick(self, number):
         task = self.begin(number)
         await self.turn()
--- a/caperstack/play/tests/test_play.py
+++ b/caperstack/play/tests/test_play.py
@@ -17,13 +17,13 @@
 
 
 @functools.cache
-def figures(name, policy, seeds=2):
-    """Return what callers got in the play of that file under a policy."""
+def figures(name, policy, seeds=2, kind=None):
+    """Return what callers, of one kind or all, got in the play of that file under a policy."""
     scenario = parse_scenario((PLAYS / f"{name}.json").read_text(encoding="utf-8"))
     ended = []
     for seed in range(1, seeds + 1):
         ended += play(scenario.model_copy(update={"seed": seed}), policy)
-    return figures_of(ended)
+    return figures_of(ended, kind)
 
 
 class TestVirtualTime(unittest.TestCase):
@@ -108,6 +108,14 @@
         # 1.3 times the load.
         self.assert_gain("no-slope", "limit is not learnt", 0.05)
 
+    def test_failures_elsewhere_close_no_gates(self):
+        # Eight in ten calls fail at one service for eight seconds, and with them
+        # lookups at another, whose servers are well.  With its gates closed
+        # payments there, which need no check, were refused: 0.92 of their worth
+        # in place of 0.97.
+        shipped = figures("nested-failures", "shipped", kind="pay")
+        self.assertGreater(shipped.credit, 0.95)
+
     def test_callers_return_at_once_when_a_server_refused(self):
         # Seven servers refuse half of their calls for four seconds.  A caller
         # that is told to come back in 0.2 s is late with its second try.
