Loads are told to entries that may use them; bytes and messages between nodes are counted by kind

An entry that calls a server each few seconds is told of each neighbour's visit, which lasts 0.3 s. Sent bytes and messages are counted by kind on the metrics address. Test: test_loads_are_told_to_those_who_call.

--- a/caperstack/operators/metrics.py
+++ b/caperstack/operators/metrics.py
@@ -60,6 +60,12 @@
             key = tuple((label, "other") for label, _ in key)
         tally[key] += amount
 
+    def sent_to_peer(self, kind, size):
+        """Count a message of `size` bytes that was written to a peer, by its kind."""
+        self.peer_bytes_out += size
+        self.count("peer_messages_out", kind=kind)
+        self.count("peer_bytes_out_by_kind", size, kind=kind)
+
     def value(self, name, **labels):
         """Return the value of counter `name`, over all label sets that include `labels`."""
         wanted = set(labels.items())
--- a/caperstack/peers/connection.py
+++ b/caperstack/peers/connection.py
@@ -3,18 +3,16 @@
 import asyncio
 from dataclasses import dataclass
 
-from caperstack.clock import TransitClock, deadline_after, now
+from caperstack.clock import TransitClock, now
 from caperstack.exception import FrameError, PeerError
 from caperstack.peers.frames import FrameDecoder, encode_frame
+from caperstack.peers.interest import Interest
 from caperstack.peers.messages import VERSION, Chunk, Hello
 
 __all__ = ["BUFFER_BYTES", "HANDSHAKE_SECONDS", "PeerConnection"]
 
 READ_BYTES = 256 * 1024
 
-#: How long a new connection counts as one on which calls come, in seconds.
-FIRST_CALLS_SECONDS = 5.0
-
 #: Bytes that are buffered of a peer before reading from it pauses.
 BUFFER_BYTES = 256 * 1024
 CHUNK_BYTES = 64 * 1024
@@ -58,7 +56,7 @@
         self._closed = False
         self.address = address
         self.hello = None
-        self.calls_until = deadline_after(FIRST_CALLS_SECONDS)
+        self.interest = Interest()
         self.transit = TransitClock()
         self.arrival = 0.0
         self._metrics = metrics
@@ -172,7 +170,7 @@
         if self._writer.transport.get_write_buffer_size() > WRITE_BACKLOG:
             raise PeerError("peer does not read", step="send", peer=self.address, sent=False)
         data = encode_frame(message, body)
-        self._metrics.peer_bytes_out += len(data)
+        self._metrics.sent_to_peer(type(message).__name__, len(data))
         self._writer.write(data)
 
     async def send_whole(self, message, body):
--- a/caperstack/peers/port.py
+++ b/caperstack/peers/port.py
@@ -30,10 +30,6 @@
 #: Connections that may be open without a finished handshake.
 STRANGERS_MOST = 64
 
-#: An entry that has not called for so long is not told of loads, in seconds; it
-#: hears of them with the answer to its next call, or when it greets.
-CALLS_SECONDS = 5.0
-
 #: How often a changed load is pushed, and how much change is worth a push.
 PUSH_SECONDS = 0.1
 PUSH_FACTOR = 2.0
@@ -200,7 +196,7 @@
         self._events.clock.merge(message.clock)
         lateness = connection.transit.lateness(message.sent_us / 1e6, connection.arrival)
         call = call_from(message, body, connection.hello.host, connection.arrival, lateness)
-        connection.calls_until = deadline_after(CALLS_SECONDS)
+        connection.interest.called()
         self._spawn(self._run(call, connection))
 
     @_take.register
@@ -216,7 +212,7 @@
     @_take.register
     def _(self, message: Ping, body, connection):
         self._events.clock.merge(message.clock)
-        pong = Pong(message.id, load_report(self._owner.load), self._events.clock.tick())
+        pong = Pong(message.id, self._report(connection), self._events.clock.tick())
         self._send(connection, pong)
 
     @_take.register
@@ -258,7 +254,7 @@
             self._calls -= 1
 
     async def _reply(self, number, outcome, connection):
-        report = load_report(self._owner.load)
+        report = self._report(connection)
         message, body = reply_to(outcome, number, report, self._events.clock.tick())
         try:
             await connection.send_whole(message, body)
@@ -269,7 +265,13 @@
     def _tell_load(self, connection):
         # A call that waits brings no answer for long, and its entry would go
         # on sending: it hears of the queue at once.
-        self._send(connection, State(load_report(self._owner.load)))
+        self._send(connection, State(self._report(connection)))
+
+    def _report(self, connection):
+        """Return the report of the load now, which the entry is told."""
+        load = self._owner.load
+        connection.interest.told(load)
+        return load_report(load)
 
     def _send(self, connection, message):
         try:
@@ -307,7 +309,7 @@
         return not 1 / PUSH_FACTOR < after / before < PUSH_FACTOR
 
     def _push(self, load):
-        """Tell `load` to the entries that call here, and a changed state to all.
+        """Tell `load` to the entries that have use for it, and a changed state to all.
 
         Notes
         -----
@@ -321,7 +323,8 @@
         self._crowding_due = deadline_after(PUSH_CROWDING_SECONDS)
         message = State(load_report(load))
         for connection in list(self._connections):
-            if changed or now() < connection.calls_until:
+            if changed or connection.interest.wants(load):
+                connection.interest.told(load)
                 self._send(connection, message)
 
 
--- a/caperstack/peers/tests/test_port.py
+++ b/caperstack/peers/tests/test_port.py
@@ -5,15 +5,17 @@
 from types import SimpleNamespace
 
 from caperstack.calls.model import Load, ServerState
-from caperstack.clock import deadline_after
+from caperstack.clock import now, use_source
+from caperstack.peers.interest import CALLS_SECONDS, Interest
 from caperstack.peers.port import PeerPort
 
 
 class FakeConnection:
     """Notes the states that it is sent."""
 
-    def __init__(self, calls):
-        self.calls_until = deadline_after(60.0 if calls else -1.0)
+    def __init__(self, moment):
+        with use_source(lambda: moment):
+            self.interest = Interest()
         self.told = []
 
     def send(self, message):
@@ -26,7 +28,8 @@
     def setUp(self):
         self.port = PeerPort(None, None)
         self.owner = self.port._owner = SimpleNamespace(load=Load(state=ServerState.LEAVING))
-        self.caller, self.other = FakeConnection(True), FakeConnection(False)
+        self.caller = FakeConnection(now())
+        self.other = FakeConnection(now() - 2 * CALLS_SECONDS)
         self.port._connections = {self.caller: True, self.other: True}
         self.port.tell_state()
 
@@ -44,6 +47,15 @@
         self.tell(pace=400)
         self.assertEqual((len(self.caller.told), len(self.other.told)), (2, 1))
 
+    def test_whoever_was_told_of_a_visit_hears_of_its_end(self):
+        # An entry's call was refused since the host is slowed.  It calls
+        # elsewhere and would leave this host alone for two seconds more.
+        self.other.interest.told(replace(self.owner.load, pace=400))
+        self.tell(pace=300)
+        self.tell(pace=100)
+        self.tell(pace=110)
+        self.assertEqual(len(self.other.told), 2)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/caperstack/play/fleet.py
+++ b/caperstack/play/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from dataclasses import dataclass
 
 from caperstack.calls.model import Answered
@@ -21,6 +22,7 @@
     rng: object
     allowance: FleetAllowance
     log: LogWriter
+    counts: Counter
 
 
 class PlayFleet:
@@ -34,15 +36,19 @@
         How entries choose: a name of `caperstack.routing.policies`.
     rng : random.Random
         The chance in it.
+    counts : collections.Counter, optional
+        Counts what hosts send each other, by kind.
     """
 
-    def __init__(self, scenario, policy, rng, log=None):
+    def __init__(self, scenario, policy, rng, log=None, counts=None):
         self._scenario = scenario
         self._rng = rng
         allowance = FleetAllowance(
             scenario.retry_share, scenario.retry_floor, scenario.retry_window_seconds
         )
-        self._options = _Options(scenario, policy, rng, allowance, log or LogWriter(None))
+        log = log or LogWriter(None)
+        counts = Counter() if counts is None else counts
+        self._options = _Options(scenario, policy, rng, allowance, log, counts)
         self.hosts = [
             self._host(f"{service.name}-{number}", number, service)
             for service in scenario.services
--- a/caperstack/play/hosts.py
+++ b/caperstack/play/hosts.py
@@ -13,6 +13,7 @@
 from caperstack.kernel import Kernel
 from caperstack.membership.members import HostEntry, Members
 from caperstack.operators.metrics import Metrics
+from caperstack.peers.interest import Interest
 from caperstack.routing.dispatch import Dispatcher
 from caperstack.routing.table import EffectiveService
 
@@ -65,17 +66,22 @@
 
     usable = True
 
-    def __init__(self, owner, member, seconds):
+    def __init__(self, owner, member, seconds, counts):
         self._owner = owner
         self._member = member
         self._seconds = seconds
-        owner.listen(self._tell_later)
+        self._counts = counts
+        self._interest = Interest()
+        owner.listen(self._tell_changed)
 
     async def run(self, call):
         """Return the outcome of `call`, with the way there and back."""
+        self._counts["calls in the zone" if self._seconds == NEAR_SECONDS else "calls out"] += 1
+        self._interest.called()
         await asyncio.sleep(self._seconds)
         outcome = await self._owner.run(copy.copy(call), self._tell_later)
         load = self._owner.load
+        self._interest.told(load)
         await asyncio.sleep(self._seconds)
         self._member.estimate.take_load(load)
         return outcome
@@ -86,8 +92,14 @@
     def touch(self):
         """Nothing to open."""
 
+    def _tell_changed(self):
+        if self._interest.wants(self._owner.load):
+            self._tell_later()
+
     def _tell_later(self):
+        self._counts["loads told"] += 1
         load = self._owner.load
+        self._interest.told(load)
         asyncio.get_running_loop().call_later(
             self._seconds, lambda: self._member.estimate.take_load(load)
         )
@@ -147,7 +159,7 @@
                 member.owner = LocalOwner(self.owner)
                 continue
             way = NEAR_SECONDS if host.zone == self.zone else zone_seconds
-            member.owner = _FarOwner(host.owner, member, way)
+            member.owner = _FarOwner(host.owner, member, way, self._options.counts)
 
     async def _tell(self):
         # Stands in for the pushes of a changed crowding.
--- a/caperstack/play/play.py
+++ b/caperstack/play/play.py
@@ -39,16 +39,28 @@
     tries: float
 
 
-def play(scenario, policy="shipped", log=None):
-    """Return the list of `caperstack.play.callers.Ended` of a scenario under a policy."""
+def play(scenario, policy="shipped", log=None, counts=None):
+    """Return the list of `caperstack.play.callers.Ended` of a scenario under a policy.
+
+    Parameters
+    ----------
+    scenario : caperstack.play.scenario.Scenario
+        What is played.
+    policy : str
+        One of `caperstack.play.policies.POLICIES`.
+    log : caperstack.events.log.LogWriter, optional
+        Where hosts log their decisions.
+    counts : collections.Counter, optional
+        Counts what hosts send each other, by kind.
+    """
     random.seed(scenario.seed)
     rng = random.Random(scenario.seed)
     with policy_in_force(policy) as choice:
-        return run_virtual(lambda: _played(scenario, choice, rng, log))
+        return run_virtual(lambda: _played(scenario, choice, rng, log, counts))
 
 
-async def _played(scenario, choice, rng, log):
-    fleet = PlayFleet(scenario, choice, rng, log)
+async def _played(scenario, choice, rng, log, counts):
+    fleet = PlayFleet(scenario, choice, rng, log, counts)
     await fleet.start()
     callers = Callers(scenario, fleet)
     events = [asyncio.create_task(_happen(event, fleet, callers)) for event in scenario.events]
--- a/caperstack/play/policies.py
+++ b/caperstack/play/policies.py
@@ -86,6 +86,14 @@
     "no hedges": ("load_aware", {f"{_DISPATCH}._may_hedge": _never}),
     "no repeats": ("load_aware", {f"{_DISPATCH}._may_repeat": _never}),
     "no moves": ("load_aware", {f"{_DISPATCH}._free": _none_free}),
+    "loads told to all": (
+        "load_aware",
+        {"caperstack.peers.interest.CALLS_SECONDS": 1e9},
+    ),
+    "loads told for five seconds": (
+        "load_aware",
+        {"caperstack.peers.interest.CALLS_SECONDS": 5.0},
+    ),
     "no zone is nearer": ("load_aware", {"caperstack.routing.policies.ZONE_SECONDS": 0.0}),
     "returns not spread": ("load_aware", {f"{_GATE}.RETURN_SPREAD": 0.0}),
     "return later after a refusal": (
--- a/caperstack/play/tests/test_play.py
+++ b/caperstack/play/tests/test_play.py
@@ -4,6 +4,7 @@
 import functools
 import json
 import unittest
+from collections import Counter
 from pathlib import Path
 
 from caperstack.clock import now
@@ -116,6 +117,19 @@
         shipped = figures("nested-failures", "shipped", kind="pay")
         self.assertGreater(shipped.credit, 0.95)
 
+    def test_loads_are_told_to_those_who_call(self):
+        # Sixty hosts, where an entry calls a server each few seconds: what it is
+        # told is old by then.  Half of the messages bring callers nothing.
+        told = {}
+        for policy in ("shipped", "loads told for five seconds"):
+            counts = Counter()
+            scenario = parse_scenario((PLAYS / "wide.json").read_text(encoding="utf-8"))
+            ended = play(scenario.model_copy(update={"seconds": 8.0}), policy, counts=counts)
+            told[policy] = (counts["loads told"], figures_of(ended).credit)
+        (few, shipped), (many, before) = told.values()
+        self.assertLess(few, 0.6 * many)
+        self.assertGreater(shipped, before - 0.01)
+
     def test_callers_return_at_once_when_a_server_refused(self):
         # Seven servers refuse half of their calls for four seconds.  A caller
         # that is told to come back in 0.2 s is late with its second try.
