--- a/caperstack/settings/sync.py
+++ b/caperstack/settings/sync.py
@@ -12,6 +12,7 @@
 from caperstack.peers.messages import Buckets, Digest, Fetch, Revisions, SubtreeBody
 from caperstack.settings.bodies import MAX_BODY, pack, unpack
 from caperstack.settings.comparison import Comparisons
+from caperstack.settings.connections import SettingsConnections
 from caperstack.settings.digest import BUCKETS
 from caperstack.settings.neighbours import Topology
 
@@ -74,7 +75,7 @@
 
     def __init__(self, here):
         self._here = here
-        self._open = {}
+        self._connections = SettingsConnections()
         self._numbers = itertools.count(1)
         self._heard_until = 0.0
         self._tasks = set()
@@ -95,8 +96,8 @@
         """Tell all peers that the platform was read at `read_at`, and what is held since."""
         self._told_read_at = read_at
         message = self._read_message(read_at)
-        for host, connection in list(self._connections.items()):
-            self._send(connection, message, host)
+        for host in self._connections.hosts:
+            self._connections.send(host, message)
 
     @property
     def silent(self):
@@ -108,6 +109,7 @@
         self._store = kernel.find("settings")
         self._members = kernel.find("members")
         self._metrics = kernel.find("metrics")
+        self._connections.count_in(self._metrics)
         self._topology = Topology(self._here, self._members)
         self._heard_until = deadline_after(random.uniform(0.2, 0.5) * SILENT_SECONDS)
         kernel.find("links").hook(self)
@@ -149,36 +151,20 @@
 
     def _compare_digests(self):
         message = Digest(self._store.digest.value)
-        for host, connection in list(self._connections.items()):
-            self._send(connection, message, host)
+        for host in self._connections.hosts:
+            self._connections.send(host, message)
 
     def opened(self, host, connection):
         """A connection is up, dialled by either side: tell all revisions."""
-        self._open.setdefault(host, []).append(connection)
-        self._send(connection, Digest(self._store.digest.value), host)
+        self._connections.add(host, connection)
+        self._connections.send_over(connection, Digest(self._store.digest.value))
 
     def closed(self, host):
         """A connection is down."""
-        left = [connection for connection in self._open.get(host, ()) if not connection.closed]
-        self._open[host] = left
-        if not left:
-            del self._open[host]
+        if not self._connections.drop_closed(host):
             self._comparisons.agrees(host)
             self._compare_next()
 
-    @property
-    def _connections(self):
-        """The newest open connection to each host.
-
-        Notes
-        -----
-        Two nodes have a connection each way.  Failure: a host's backend server
-        leaves, peers close their links to it, and the one that the host itself
-        has dialled is forgotten with them; its callers get the old routes for
-        seconds after a change, since nobody tells it any more.
-        """
-        return {host: connections[-1] for host, connections in self._open.items()}
-
     # -- messages ---------------------------------------------------------
 
     @singledispatchmethod
@@ -208,23 +194,24 @@
     def _compare_next(self):
         """Compare with a peer that holds something else, if no other comparison runs."""
         host = self._comparisons.begin(self._store.digest.value)
-        connections = self._open.get(host)
-        if connections:
+        if host is not None:
             digest = self._store.digest
-            self._send(connections[-1], Buckets(digest.value, digest.buckets), host)
+            self._connections.send(host, Buckets(digest.value, digest.buckets))
 
     @_handle.register
     def _(self, message: Buckets, body, host, connection):
         self._hear()
         mine = self._store.digest
         if message.value == mine.value:
-            self._send(connection, Digest(mine.value), host)
+            self._connections.send_over(connection, Digest(mine.value))
             return
         pairs = enumerate(zip(message.values, mine.buckets, strict=False))
         # Equal buckets under unequal whole values are equal by chance: all are told then.
         unequal = [place for place, (theirs, ours) in pairs if theirs != ours] or range(BUCKETS)
         buckets = list(unequal)
-        self._send(connection, Revisions(self._store.revisions_in(buckets), buckets), host)
+        self._connections.send_over(
+            connection, Revisions(self._store.revisions_in(buckets), buckets)
+        )
 
     def _hear_read(self, read_at):
         """Take note of a reading, and pass the word on if it is new here.
@@ -240,12 +227,10 @@
             return
         self._told_read_at = read_at
         message = self._read_message(read_at)
-        connections = self._connections
         # A host that is not listed has a place in nobody's order.
-        unlisted = [host for host in connections if self._members.find(host) is None]
+        unlisted = [h for h in self._connections.hosts if self._members.find(h) is None]
         for host in (*self._topology.successors(SUCCESSORS), *unlisted):
-            if host in connections:
-                self._send(connections[host], message, host)
+            self._connections.send(host, message)
 
     def _read_message(self, read_at):
         age = max(1, int((now() - read_at) * 1e6))
@@ -258,12 +243,12 @@
         self._wanted.update(wanted)
         asked = [p for p in wanted if self._may_ask(p, message.revisions[p])]
         if asked:
-            self._send(connection, Fetch(asked), host)
+            self._connections.send_over(connection, Fetch(asked))
         if message.buckets:
             mine = self._store.revisions_in(message.buckets)
             higher = {p: r for p, r in mine.items() if r > message.revisions.get(p, -1)}
             if higher:
-                self._send(connection, Revisions(higher), host)
+                self._connections.send_over(connection, Revisions(higher))
         if not wanted:
             self._agrees.set()
             if message.buckets:
@@ -321,14 +306,13 @@
     def _tell_news(self):
         """Tell a few peers what has changed in this turn of the loop."""
         news, self._news = self._news, {}
-        connections = self._connections
-        for host in self._told_first(list(connections)):
+        for host in self._told_first(self._connections.hosts):
             # Whoever told it knows it.
             told = {path: held.revision for path, held in news.items() if held.source != host}
             if len(told) > TELL_EACH:
-                self._send(connections[host], Digest(self._store.digest.value), host)
+                self._connections.send(host, Digest(self._store.digest.value))
             elif told:
-                self._send(connections[host], Revisions(told), host)
+                self._connections.send(host, Revisions(told))
 
     def _told_first(self, hosts):
         """Return those of the connected `hosts` that are told of a change at once."""
@@ -343,12 +327,6 @@
         member = self._members.find(host)
         return "" if member is None else member.zone
 
-    def _send(self, connection, message, host):
-        try:
-            connection.send(message)
-        except PeerError:
-            self._metrics.count("unsent_notices")
-
     def _spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
--- a/caperstack/settings/tests/test_sync.py
+++ b/caperstack/settings/tests/test_sync.py
@@ -84,7 +84,7 @@
             self.sync.closed(host)
         dialled = self.peers["h1"]
         accepted = self.peers["h1"] = Connection()
-        self.sync._open["h1"] = [accepted, dialled]
+        self.sync._connections._open["h1"] = [accepted, dialled]
         dialled.closed = True
         self.sync.closed("h1")
         self.store.take("", 5, ROUTES, "platform")
