A second press after a reset: a test on the stand-ins and the way from its ids to the cause

Cause: the large fleet's story is a booking held twice after a reset; no test showed both presses, and no page told operators what each of them met. No change of the node's code; the test passes on the code before too, since it states what holds.

--- a/caperstack/platform/tests/test_path.py
+++ b/caperstack/platform/tests/test_path.py
@@ -5,6 +5,7 @@
 import unittest
 
 from caperstack.addresses import split_address
+from caperstack.calls.headers import OUTCOME
 from caperstack.clock import now
 from caperstack.platform.names import DIALECT, SEAL
 from caperstack.platform.standin.fleet import PlatformFleet, route_row
@@ -253,6 +254,28 @@
         name, reply = await self.fleet.ask(self.third, "/book/x", "POST")
         self.assertEqual((reply.code, self.fleet.runs(name)), (502, 1))
 
+    async def test_second_press_after_a_reset_is_told_apart_by_outcome_and_log(self):
+        # A desk presses "book"; the backend server holds the slot, and its
+        # connection is reset before the answer.  The desk sees an error and
+        # presses again.  The second press has an id of its own and is another
+        # booking: the first answer must not say that nothing ran, and the log
+        # must show operators which of the two ended without word.
+        for host in (self.first, self.second):
+            host.instance.conduct.lose_answers = True
+        first, lost = await self.fleet.ask(self.third, "/book/x", "POST")
+        for host in (self.first, self.second):
+            host.instance.conduct.lose_answers = False
+        second, booked = await self.fleet.ask(self.third, "/book/x", "POST")
+        self.assertEqual((lost.code, lost.headers[OUTCOME]), (502, "unknown"))
+        self.assertNotIn("Retry-After", lost.headers)
+        self.assertEqual((booked.code, booked.headers[OUTCOME]), (200, "answered"))
+        self.assertEqual((self.fleet.runs(first), self.fleet.runs(second)), (1, 1))
+        told = {
+            line["id"]: line["outcome"].partition(" ")[0]
+            for line in self.third.node.lines("entry outcome")
+        }
+        self.assertEqual((told[first], told[second]), ("unknown", "answered"))
+
     async def test_lost_answer_of_a_listing_is_got_elsewhere(self):
         self.first.instance.conduct.lose_answers = True
         # The entry may leave a host alone for the seconds after its start.
