The other servers' failures are asked for where a server fails, and only of those heard of

Ruled out: keeping the median up to date with each load, which costs more than asking rarely. Change: FailureShare.passes takes a callable and asks it only past half failures; servers of which nothing was heard do not count. Test: fifty servers of which three are known; red before.

--- a/caperstack/admission/arrivals.py
+++ b/caperstack/admission/arrivals.py
@@ -62,7 +62,7 @@
 
     def _better_elsewhere(self, service):
         """Return the `NotRun` for a call that has other servers left to try, or ``None``."""
-        if not self._failures.passes(self._others_failing(service)):
+        if not self._failures.passes(lambda: self._others_failing(service)):
             return NotRun("backend server fails", ELSEWHERE_SECONDS)
         if self._pace.slowed:
             return NotRun("host is slowed at this moment", ELSEWHERE_SECONDS)
@@ -71,10 +71,17 @@
         return None
 
     def _others_failing(self, service):
-        """Return the share of calls that fail at the other servers, the median of them."""
+        """Return the share of calls that fail at the other servers, the median of them.
+
+        Notes
+        -----
+        Of a large service this node hears of a few servers only; the others
+        would count as sound, and the gate would close as if there were none.
+        """
         here = self._members.here.host
         members = self._members.of_service(service)
-        others = sorted(m.estimate.failing for m in members if m.host != here)
+        heard = [m.estimate for m in members if m.host != here and m.estimate.age_ms is not None]
+        others = sorted(estimate.failing for estimate in heard)
         return others[len(others) // 2] if others else 0.0
 
     def too_late(self, call):
--- a/caperstack/admission/limit.py
+++ b/caperstack/admission/limit.py
@@ -247,15 +247,16 @@
         """The share as whole percent."""
         return int(self._share * 100)
 
-    def passes(self, others=0.0):
+    def passes(self, others):
         """Return whether a call that could go elsewhere may run here.
 
         Parameters
         ----------
-        others : float
-            The share of failures at the other servers of the service.
+        others : callable
+            ``others()`` tells the share of failures at the other servers of the
+            service; it is asked only where this one fails.
         """
-        if self._share < max(GATE_SHARE, others + GATE_MARGIN):
+        if self._share < GATE_SHARE or self._share < others() + GATE_MARGIN:
             return True
         if now() < self._probe_at:
             return False
--- a/caperstack/admission/tests/test_owner.py
+++ b/caperstack/admission/tests/test_owner.py
@@ -352,12 +352,21 @@
         # Checks that the work of all servers of a service makes fail elsewhere;
         # each of them answers errors.  Refused here, calls would find the
         # others full, and this one would stand idle.
-        self.others = [
-            SimpleNamespace(host=host, estimate=SimpleNamespace(failing=0.8)) for host in "abc"
-        ]
+        self.others = [self.server(host, 0.8, 10) for host in "abc"]
         outcomes = [await self.quick(number) for number in range(30)]
         self.assertFalse(any(isinstance(outcome, NotRun) for outcome in outcomes))
 
+    async def test_servers_that_nobody_heard_of_do_not_count_as_sound(self):
+        # The same in a service of fifty servers, of which this node calls three.
+        self.others = [self.server(host, 0.8, 10) for host in "abc"]
+        self.others += [self.server(f"far-{number}", 0.0, None) for number in range(50)]
+        outcomes = [await self.quick(number) for number in range(30)]
+        self.assertFalse(any(isinstance(outcome, NotRun) for outcome in outcomes))
+
+    @staticmethod
+    def server(host, failing, age_ms):
+        return SimpleNamespace(host=host, estimate=SimpleNamespace(failing=failing, age_ms=age_ms))
+
     async def quick(self, number):
         task = self.begin(number)
         await self.turn()
