The model of a growing fleet belongs to the platform's stand-ins

Cause: it held the platform's names outside the folder that may. Change: moved, with its test; it writes entries and the configuration through what the stand-ins had (StandinInstance.entry, and a function that PlatformFleet shares). No change of the node's code; the tests' assertions are the same and pass.

--- a/caperstack/platform/standin/fleet.py
+++ b/caperstack/platform/standin/fleet.py
@@ -15,11 +15,11 @@
 from caperstack.bench.fleet import Process, free_addresses
 from caperstack.clock import deadline_after, now
 from caperstack.exception import CaperstackError
-from caperstack.platform.names import BOOT_VARIABLE, DIALECT, READY_PATH
+from caperstack.platform.names import BOOT_VARIABLE, CONFIGURATION_KEY, DIALECT, READY_PATH
 from caperstack.platform.standin.instance import StandinInstance
 from caperstack.platform.standin.store import StandinStore
 
-__all__ = ["Host", "PlatformFleet", "PlatformNode", "route_row"]
+__all__ = ["Host", "PlatformFleet", "PlatformNode", "configuration", "route_row"]
 
 #: The first of the loopback addresses that stand for hosts; one for each.
 FIRST_IP = (127, 0, 0, 11)
@@ -57,6 +57,19 @@
     return [(row | changes)[column] for column in ROUTE_COLUMNS]
 
 
+def configuration(version, routes, services, connections=200):
+    """Return a configuration with `routes` as `route_row` makes them, as operators write it."""
+    return {
+        "version": version,
+        "routes": {"columns": ROUTE_COLUMNS, "rows": routes},
+        "services": {
+            "columns": ["name", "healthPath", "maxConnections"],
+            "rows": [[name, "/health", connections] for name in services],
+        },
+        "limits": {"maxBodyBytes": 1 << 20, "idleTimeout": "15s"},
+    }
+
+
 class PlatformNode(Process):
     """A node as the platform starts it: settings by environment, output read at will."""
 
@@ -179,16 +192,8 @@
     def configure(self):
         """Publish the present routes as the next version."""
         self._version += 1
-        services = [[name, "/health", 200] for name in self.services]
-        self.store.put(
-            "op/config",
-            {
-                "version": self._version,
-                "routes": {"columns": ROUTE_COLUMNS, "rows": self.routes},
-                "services": {"columns": ["name", "healthPath", "maxConnections"], "rows": services},
-                "limits": {"maxBodyBytes": 1 << 20, "idleTimeout": "15s"},
-            },
-        )
+        document = configuration(self._version, self.routes, self.services)
+        self.store.put(CONFIGURATION_KEY, document)
 
     def register(self, host, state="ready"):
         """Write the entry of the host's backend server."""
--- a/caperstack/play/growth.py
+++ b/caperstack/platform/standin/growth.py
@@ -15,7 +15,9 @@
 from caperstack.platform.items import StoreCodec
 from caperstack.platform.names import CONFIGURATION_KEY, SERVERS_PREFIX
 from caperstack.platform.reader import StoreReader
-from caperstack.play.modelstore import ModelStore
+from caperstack.platform.standin.fleet import configuration
+from caperstack.platform.standin.instance import StandinInstance
+from caperstack.platform.standin.modelstore import ModelStore
 from caperstack.settings.store import SettingsStore
 from caperstack.settings.sync import SettingsSync
 
@@ -202,16 +204,7 @@
         self.traffic = Traffic()
         self._nodes = {}
         self._places = [self._place(number) for number in range(size)]
-        services = [[name, "/health", 100] for name in SERVICES]
-        self.store.put(
-            CONFIGURATION_KEY,
-            {
-                "version": 1,
-                "routes": {"columns": ["name"], "rows": []},
-                "services": {"columns": ["name", "healthPath", "maxConnections"], "rows": services},
-                "limits": {"maxBodyBytes": 65536, "idleTimeout": "30s"},
-            },
-        )
+        self.store.put(CONFIGURATION_KEY, configuration(1, [], SERVICES))
         for host, zone, service in self._places:
             self.register(host, zone, service)
 
@@ -232,13 +225,9 @@
 
     def register(self, host, zone, service, state="ready"):
         """Write the entry of the backend server at `host`."""
-        entry = {
-            "address": f"{host}:8000",
-            "born": 1_790_000_000_000,
-            "info": {"service": service, "version": "v1", "zone": zone, "slots": 8},
-            "status": {"state": state, "sequence": 1, "coldLeft": "0ms"},
-        }
-        self.store.put(f"{SERVERS_PREFIX}i-{host}", entry)
+        name = f"i-{host}"
+        server = StandinInstance(f"{host}:8000", service, name)
+        self.store.put(f"{SERVERS_PREFIX}{name}", server.entry(zone, state))
 
     def drain(self, number):
         """The backend server of that number drains."""
--- a/caperstack/play/modelstore.py
+++ b/caperstack/platform/standin/modelstore.py
@@ -18,7 +18,7 @@
 
     Attributes
     ----------
-    calls : float
+    calls : int
         Calls so far, a page each.
     """
 
--- a/caperstack/play/tests/test_growth.py
+++ b/caperstack/platform/tests/test_growth.py
@@ -9,7 +9,7 @@
 
 from caperstack.membership.subset import SUBSET
 from caperstack.platform.entries import decode_entry
-from caperstack.play.growth import SERVICES, GrowthFleet, Node
+from caperstack.platform.standin.growth import SERVICES, GrowthFleet, Node
 from caperstack.play.virtual import run_virtual
 from caperstack.routing.dispatch import Dispatcher
 
