--- a/caperstack/admission/owner.py
+++ b/caperstack/admission/owner.py
@@ -78,11 +78,6 @@
         """Whether no call runs or waits."""
         return self._gate.running == 0 and self._gate.waiting == 0
 
-    @property
-    def pressed(self):
-        """Whether calls wait, or the host is slowed: news of its pace is worth most then."""
-        return self._gate.waiting > 0 or self._pace.slowed
-
     @property
     def instance(self):
         """The instance of the backend server that calls are meant for; empty for any."""
--- a/caperstack/backend/pace.py
+++ b/caperstack/backend/pace.py
@@ -15,12 +15,6 @@
 #: an answer takes 1 ms where the backend server lives.
 REFRESH_SECONDS = 0.02
 
-#: Where nobody waits and the host is as quick as usual, half as many probes: a
-#: visit that begins then is noticed by the question before a start.  A play of 60
-#: hosts sends 26,500 in place of 35,800 (three seeds), at a credit of 0.984 and
-#: 0.982 (four); at a quarter and a tenth of the rate it falls to 0.978 and 0.977.
-CALM_SHARE = 0.5
-
 #: Without answers that tell the pace there is a probe each interval; with them one
 #: a second at least, which shows the server's own health.
 HEALTH_SECONDS = 1.0
@@ -109,8 +103,7 @@
 
     def _interval(self):
         if self._paced or self._probes < PROBES_TO_KNOW:
-            share = 1.0 if self._owner.pressed else CALM_SHARE
-            return 1.0 / (share * self._rate())
+            return 1.0 / self._rate()
         return 1.0 / WITHOUT_PACE
 
     async def _ask(self):
