A comparison ends when all that was wanted has come, whoever sent it

Ruled out: asking twice, which sends bodies twice. Change: Comparisons.over, called when nothing is wanted. Test: the body comes from another peer, the third peer is compared with at once; red before.

--- a/caperstack/settings/comparison.py
+++ b/caperstack/settings/comparison.py
@@ -40,6 +40,17 @@
         if host == self._host:
             self._host = None
 
+    def over(self):
+        """All that was wanted has come, whoever sent it: nothing is compared any more.
+
+        Notes
+        -----
+        Failure: a body that a comparison asks for is on its way from another
+        peer already.  It comes from there, the comparison never hears of its
+        end, and the next one begins a third of a second late.
+        """
+        self._host = None
+
     def begin(self, mine):
         """Return the host to compare with next, or ``None``.
 
--- a/caperstack/settings/sync.py
+++ b/caperstack/settings/sync.py
@@ -284,7 +284,7 @@
         self._wanted.discard(message.path)
         if not self._wanted:
             self._agrees.set()
-            self._comparisons.done(host)
+            self._comparisons.over()
             self._compare_next()
 
     async def _send_body(self, held, connection, host):
--- a/caperstack/settings/tests/test_sync.py
+++ b/caperstack/settings/tests/test_sync.py
@@ -7,8 +7,8 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from caperstack.peers.messages import Digest, Fetch, Revisions, SubtreeBody
-from caperstack.settings.bodies import MAX_BODY
+from caperstack.peers.messages import Buckets, Digest, Fetch, Revisions, SubtreeBody
+from caperstack.settings.bodies import MAX_BODY, pack
 from caperstack.settings.compile import TreeCodec
 from caperstack.settings.store import SettingsStore
 from caperstack.settings.sync import TELL_FAR, TELL_NEAR, SettingsSync
@@ -109,6 +109,18 @@
                 self.sync.take(host, self.peers[host], Revisions({"": 5}), b"")
         self.assertEqual(self.told(Fetch), ["h1", "h2"])
 
+    async def test_body_that_comes_from_another_peer_ends_the_comparison(self):
+        # A change is told by h1 and its body is on the way when h2 is compared
+        # with.  h3 holds something else as well, and must not wait for h2's end.
+        self.sync.take("h1", self.peers["h1"], Revisions({"": 5}), b"")
+        self.sync.take("h2", self.peers["h2"], Digest(1), b"")
+        self.sync.take("h2", self.peers["h2"], Revisions({"": 5}, [0]), b"")
+        self.sync.take("h3", self.peers["h3"], Digest(2), b"")
+        self.assertEqual(self.told(Buckets), ["h2"])
+        body = pack(ROUTES)
+        self.sync.take("h1", self.peers["h1"], SubtreeBody(1, len(body), "", 5, False), body)
+        self.assertEqual(self.told(Buckets), ["h2", "h3"])
+
     async def test_body_arrives_as_it_was_sent(self):
         self.store.take("", 5, ROUTES, "platform")
         self.sync.take("h1", self.peers["h1"], Fetch([""]), b"")
