--- a/caperstack/membership/order.py
+++ b/caperstack/membership/order.py
@@ -26,8 +26,7 @@
     -----
     Failure: orders are sorted anew for each host that comes or goes.  A release
     that replaces each of n backend servers makes every node sort n hosts n
-    times, some 10 ms of a weak core a change at 1,100 hosts.  By bisection a
-    change costs two insertions.
+    times.  By bisection a change costs an insertion or a removal.
     """
 
     def __init__(self, hosts=(), number=hash_number):
--- a/caperstack/platform/fleet.py
+++ b/caperstack/platform/fleet.py
@@ -74,7 +74,8 @@
             # A node that starts takes in all entries in one turn of the loop;
             # two entries of a host are judged together.
             asyncio.get_running_loop().call_soon(self._apply)
-        # Dicts in place of sets: hosts are looked at in the order of the changes.
+        # A dict serves as an ordered set: hosts are looked at in the order of the
+        # changes.  The own host is always among them, so that an apply is due.
         self._due[self._here.host] = True
         if held.path == CONFIGURATION_KEY:
             self._apply_limits(held.parsed)
