A backend server's end, what was at work then and what calls ask for are logged

Why: when a service lost server after server, the lines named each attempt by its own new id, and no line said that a server had ended; whether one request came again or the servers fell over by themselves could not be told from logs.

Change: calls bear a fingerprint (host, method, target, body; who asks) over the hop, 'owner sends' shows it with the entry. After a lost connection the owner asks once whether the server still listens; a refused connection, or another start in the list with calls out, is its end. Ruled out: taking each loss for an end (idle connections forgotten, lost answers, resets).

--- a/caperstack/admission/execution.py
+++ b/caperstack/admission/execution.py
@@ -26,15 +26,18 @@
         Learns how many fail.
     standing : caperstack.admission.standing.ServerStanding
         The instance that calls are meant for; learns that it answers.
+    watch : caperstack.quarantine.crash.CrashWatch
+        Knows what is at work, and learns of lost connections.
     """
 
-    def __init__(self, client, gate, times, pace, failures, standing):
+    def __init__(self, client, gate, times, pace, failures, standing, watch):
         self._client = client
         self._gate = gate
         self._times = times
         self._pace = pace
         self._failures = failures
         self._standing = standing
+        self._watch = watch
         self._metrics = None
         self._events = None
 
@@ -51,14 +54,19 @@
             "owner sends",
             call,
             instance=self._standing.instance,
+            origin=call.origin,
+            asks=call.fingerprint.text,
             running=self._gate.running,
             limit=self._gate.limit,
             pace=round(self._pace.value, 2),
         )
         counts = False
+        answered = False
         begun = now()
+        self._watch.begin(call)
         try:
             answer = await self._client.fetch(call, self._standing.instance)
+            answered = True
             if isinstance(answer, NotRun):
                 return answer
             counts = answer.status < 500 or answer.status == GATEWAY_TIMEOUT
@@ -71,8 +79,12 @@
             # shows no time at all, looks as quick as ever, and draws calls.
             counts = time_left(call.deadline) <= 0
             self._failures.add(True)
+            answered = not error.sent
+            if error.sent and not counts:
+                await self._watch.lost(call)
             return self._failure(call, error)
         finally:
+            self._watch.finish(call, answered)
             ratio = self._times.end((call.origin, call.id), counts)
             if ratio and self._gate.note_time(call, ratio):
                 self._events.state("calls at once", "other", self._gate.limit)
--- a/caperstack/admission/owner.py
+++ b/caperstack/admission/owner.py
@@ -16,6 +16,7 @@
     Unknown,
 )
 from caperstack.clock import now, time_left
+from caperstack.quarantine.crash import CrashWatch
 
 __all__ = ["Owner"]
 
@@ -49,8 +50,16 @@
         self._listeners = []
         self._failures = FailureShare()
         self._published = 0
+        self._watch = CrashWatch(client, self._standing)
+        self._watch.listen(self._on_end)
         self._execution = Execution(
-            client, self._gate, self._times, self._pace, self._failures, self._standing
+            client,
+            self._gate,
+            self._times,
+            self._pace,
+            self._failures,
+            self._standing,
+            self._watch,
         )
         self._memory = CallMemory()
         self._arrivals = None
@@ -166,6 +175,8 @@
             return
         self._events.state("instance", standing.instance, f"{instance} of {service}, {born_ms}")
         first = not standing.instance
+        if not first:
+            self._watch.started_anew()
         moved = standing.service not in ("", service)
         standing.instance = instance
         standing.born_ms = born_ms
@@ -186,6 +197,15 @@
         reason = "backend server is of another service" if moved else "backend server started anew"
         self._gate.refuse_all(reason)
 
+    def _on_end(self, end):
+        self._metrics.count("backend_ends")
+        self._events.line(
+            "backend server ended",
+            instance=end.instance,
+            end=f"{end.number:016x}",
+            at_work={call.request_id: call.fingerprint.text for call in end.calls.values()},
+        )
+
     def resize(self, slots):
         """The backend server has so many slots from now on."""
         self._gate.resize(slots)
--- a/caperstack/admission/tests/test_owner.py
+++ b/caperstack/admission/tests/test_owner.py
@@ -21,10 +21,14 @@
         self.started = []
         self.restarts = 0
         self.clock = 0.0
+        self.listening = True
 
     def restart(self):
         self.restarts += 1
 
+    async def listens(self, _deadline):
+        return self.listening
+
     async def fetch(self, call, instance=""):
         future = self.running[call.id] = asyncio.get_running_loop().create_future()
         self.started.append(call.id)
--- a/caperstack/backend/client.py
+++ b/caperstack/backend/client.py
@@ -147,6 +147,15 @@
             connection, connection.exchange("GET", path, host, b"", ""), deadline
         )
 
+    async def listens(self, deadline):
+        """Return whether the backend server takes connections; ``None`` if nothing tells."""
+        try:
+            connection = await self._open(deadline)
+        except BackendError as error:
+            return False if error.refused else None
+        connection.close()
+        return True
+
     async def _perform(self, connection, call, headers):
         sending = connection.exchange(call.method, call.target, headers, call.body, call.request_id)
         return await self._bounded(connection, sending, call.deadline)
--- a/caperstack/backend/connection.py
+++ b/caperstack/backend/connection.py
@@ -170,7 +170,10 @@
         except (StreamClosedError, TimeoutError, OSError) as error:
             self.close()
             reason = str(error) or "no connection in time"
-            raise BackendError(reason, step="connect", peer=self._peer, sent=False) from None
+            refused = isinstance(self._stream.error, ConnectionRefusedError)
+            raise BackendError(
+                reason, step="connect", peer=self._peer, sent=False, refused=refused
+            ) from None
         except asyncio.CancelledError:
             self.close()
             raise
--- a/caperstack/callers/port.py
+++ b/caperstack/callers/port.py
@@ -12,6 +12,7 @@
 from caperstack.callers.exchange import DISCARD_BYTES, Exchange
 from caperstack.callers.patience import Patience
 from caperstack.calls.dialect import Dialect
+from caperstack.calls.fingerprint import fingerprint_of
 from caperstack.calls.headers import (
     DEPTH,
     IDEMPOTENCY_KEY,
@@ -252,6 +253,9 @@
             route=route.name or route.path,
             objective_at=min(deadline, deadline_after(route.objective_seconds - waited)),
             attempts=route.attempts,
+            fingerprint=fingerprint_of(
+                start.method, start.path, headers, body, self._here.backend.service
+            ),
         )
 
     def _time_left_seconds(self, headers):
--- a/caperstack/calls/model.py
+++ b/caperstack/calls/model.py
@@ -3,6 +3,7 @@
 import itertools
 from dataclasses import dataclass, field
 
+from caperstack.calls.fingerprint import Fingerprint
 from caperstack.clock import now, wall_microseconds
 
 __all__ = [
@@ -132,6 +133,8 @@
     started_among : int
         How many calls its backend server had at work when it began, itself
         included, if others waited on; else 0.
+    fingerprint : caperstack.calls.fingerprint.Fingerprint
+        What it asks for, the same for each attempt at it.
     notes : list of (float, str)
         What happened to the call here, for the time line.
     """
@@ -156,6 +159,7 @@
     objective_at: float = 0.0
     attempts: int = 3
     started_among: int = 0
+    fingerprint: Fingerprint = Fingerprint()
     notes: list = field(default_factory=list)
 
 
--- a/caperstack/exception.py
+++ b/caperstack/exception.py
@@ -61,13 +61,14 @@
     """The backend server gave no whole answer.
 
     ``sent`` is false if it got no request; ``unheard`` is true if the connection
-    closed before a byte of the answer.
+    closed before a byte of the answer; ``refused`` if nobody listens there.
     """
 
-    def __init__(self, message, *, step="", peer="", sent=True, unheard=False):
+    def __init__(self, message, *, step="", peer="", sent=True, unheard=False, refused=False):
         super().__init__(message, step=step, peer=peer)
         self.sent = sent
         self.unheard = unheard
+        self.refused = refused
 
 
 class PlatformError(CaperstackError):
--- a/caperstack/peers/messages.py
+++ b/caperstack/peers/messages.py
@@ -26,7 +26,7 @@
 ]
 
 #: The version of the messages below; a peer that speaks another is turned away.
-VERSION = 3
+VERSION = 4
 
 
 class _Message(msgspec.Struct, array_like=True, gc=False):
@@ -78,6 +78,8 @@
     clock: int
     route: str
     objective_us: int
+    request_hash: int
+    caller_hash: int
 
 
 class Answer(_Message, tag=3):
--- a/caperstack/peers/translate.py
+++ b/caperstack/peers/translate.py
@@ -2,6 +2,7 @@
 
 from functools import singledispatch
 
+from caperstack.calls.fingerprint import Fingerprint
 from caperstack.calls.model import Answered, Call, Load, NotRun, Unknown
 from caperstack.clock import now, time_left
 from caperstack.peers.messages import (
@@ -73,6 +74,8 @@
         clock,
         call.route,
         int(time_left(call.objective_at or call.deadline) * 1e6),
+        call.fingerprint.request,
+        call.fingerprint.caller,
     )
 
 
@@ -106,6 +109,7 @@
         last=message.last,
         route=message.route,
         objective_at=sent + message.objective_us / 1e6,
+        fingerprint=Fingerprint(message.request_hash, message.caller_hash),
     )
 
 
--- a/caperstack/play/server.py
+++ b/caperstack/play/server.py
@@ -85,6 +85,10 @@
         self._tell()
         return Answered(200, "OK", [], b"")
 
+    async def listens(self, _deadline):
+        """Return whether the server is there."""
+        return not self.lost
+
     def _tell(self):
         report = ServerReport("", self.running, len(self._waiting), self._service.slots, self.pace)
         self._on_report(report)
--- /dev/null
+++ b/caperstack/quarantine/crash.py
@@ -0,0 +1,133 @@
+"""Tell the end of a backend server from other losses, and what was at work then."""
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass
+
+import xxhash
+
+from caperstack.calls.model import ServerState
+from caperstack.clock import deadline_after, now, wall_microseconds
+
+__all__ = ["CrashWatch", "ServerEnd"]
+
+#: How long the question waits whether the backend server still listens, in
+#: seconds; on its own host a connection takes 0.2 ms, and so does its refusal.
+ASK_SECONDS = 0.05
+
+#: Calls without an answer that may be at work still, the latest ones: twice the
+#: slots of the largest backend server of the sheets.
+UNANSWERED_MOST = 36
+
+
+@dataclass(frozen=True, slots=True)
+class ServerEnd:
+    """A backend server that ended while calls were at work.
+
+    Attributes
+    ----------
+    number : int
+        Names this end among all ends of all servers.
+    instance : str
+        The instance that ended.
+    calls : dict
+        The calls that were at work, by entry and number.
+    """
+
+    number: int
+    instance: str
+    calls: dict
+
+
+class CrashWatch:
+    """Knows what is at work at one backend server, and notices when it ends.
+
+    Parameters
+    ----------
+    client : object
+        With ``async listens(deadline)``, as
+        `caperstack.backend.client.BackendClient`.
+    standing : caperstack.admission.standing.ServerStanding
+        Which instance it is and whether it leaves.
+
+    Notes
+    -----
+    A lost connection alone says little: the server may have forgotten an idle
+    one, lost an answer, or been cut off for a moment, and lives on.  It has ended
+    if it refuses the next connection, or if another start of it is listed while
+    calls of the last one are still out.  A server that leaves ends in peace.
+    """
+
+    def __init__(self, client, standing):
+        self._client = client
+        self._standing = standing
+        self._at_work = {}
+        self._unanswered = deque(maxlen=UNANSWERED_MOST)
+        self._asking = None
+        self._last = None
+        self._listeners = []
+
+    def listen(self, listener):
+        """Call ``listener(end)`` with each `ServerEnd`."""
+        self._listeners.append(listener)
+
+    def begin(self, call):
+        """`call` goes to the backend server."""
+        self._at_work[call.origin, call.id] = call
+
+    def finish(self, call, answered):
+        """`call` is over here; without an answer it may be at work there still.
+
+        Notes
+        -----
+        Failure: a caller leaves, or a hedge has won, and the call is cancelled;
+        the server works on, and ends of it.  Nothing that was known to be at work
+        would bear the blame, and others would.
+        """
+        if self._at_work.pop((call.origin, call.id), None) is not None and not answered:
+            self._unanswered.append(call)
+
+    async def lost(self, call):
+        """Return the `ServerEnd` that took `call`, or ``None`` if the server lives."""
+        if not self._took(call):
+            if self._asking is None:
+                self._asking = asyncio.create_task(self._ask())
+            await asyncio.shield(self._asking)
+        return self._last if self._took(call) else None
+
+    def _took(self, call):
+        return self._last is not None and (call.origin, call.id) in self._last.calls
+
+    async def _ask(self):
+        try:
+            listens = await self._client.listens(deadline_after(ASK_SECONDS))
+        finally:
+            self._asking = None
+        if listens is False and not self._leaves:
+            self._end()
+
+    @property
+    def _leaves(self):
+        return self._standing.state in (ServerState.LEAVING, ServerState.STOPPING)
+
+    def started_anew(self):
+        """Another start of the backend server is listed: what the last one ran ended with it."""
+        if self._leaves:
+            self._unanswered.clear()
+        self._end()
+
+    def _end(self):
+        moment = now()
+        calls = [call for call in self._unanswered if call.deadline > moment]
+        calls += self._at_work.values()
+        self._unanswered.clear()
+        self._at_work.clear()
+        if not calls:
+            return
+        standing = self._standing
+        name = f"{standing.instance}@{standing.born_ms} {wall_microseconds()} {calls[0].id}"
+        number = xxhash.xxh3_64_intdigest(name.encode())
+        by_number = {(call.origin, call.id): call for call in calls}
+        self._last = ServerEnd(number, standing.instance, by_number)
+        for listener in self._listeners:
+            listener(self._last)
--- /dev/null
+++ b/caperstack/quarantine/tests/test_crash.py
@@ -0,0 +1,80 @@
+"""What counts as the end of a backend server, and which calls were at work then."""
+
+import unittest
+from types import SimpleNamespace
+
+from caperstack.calls.model import Call, ServerState
+from caperstack.clock import deadline_after
+from caperstack.quarantine.crash import CrashWatch
+
+
+def call(number, seconds=5.0):
+    return Call(number, "n", f"r{number}", "s", "GET", "/", [], b"", deadline_after(seconds), True)
+
+
+class TestCrashWatch(unittest.IsolatedAsyncioTestCase):
+    """`CrashWatch` beside a server that listens, or does not."""
+
+    def setUp(self):
+        self.listening = False
+        self.asked = 0
+        self.standing = SimpleNamespace(state=ServerState.WARM, instance="i-1", born_ms=0)
+        self.watch = CrashWatch(self, self.standing)
+        self.ends = []
+        self.watch.listen(self.ends.append)
+
+    async def listens(self, _deadline):
+        self.asked += 1
+        return self.listening
+
+    def at_work(self):
+        return [sorted(call.id for call in end.calls.values()) for end in self.ends]
+
+    async def test_server_that_refuses_connections_has_ended_with_all_its_work(self):
+        # All connections of a server break in one millisecond.  The first loss
+        # asks, the others learn the same; no call is counted at a second end.
+        first, second = call(1), call(2)
+        self.watch.begin(first)
+        self.watch.begin(second)
+        end = await self.watch.lost(first)
+        self.assertEqual((await self.watch.lost(second)).number, end.number)
+        self.assertEqual((self.at_work(), self.asked), ([[1, 2]], 1))
+
+    async def test_server_that_listens_still_has_lost_an_answer_only(self):
+        self.listening = True
+        lost = call(1)
+        self.watch.begin(lost)
+        self.assertIsNone(await self.watch.lost(lost))
+        self.assertEqual(self.ends, [])
+
+    async def test_answered_calls_were_not_at_work(self):
+        answered, lost = call(1), call(2)
+        for one in (answered, lost):
+            self.watch.begin(one)
+        self.watch.finish(answered, answered=True)
+        await self.watch.lost(lost)
+        self.assertEqual(self.at_work(), [[2]])
+
+    async def test_call_that_was_cancelled_may_be_at_work_until_its_deadline(self):
+        # A caller leaves; its call is cancelled here, the server works on and ends
+        # of it a moment later.  A call whose deadline has passed does not work on.
+        cancelled, over, lost = call(1), call(2, seconds=-1.0), call(3)
+        for one in (cancelled, over, lost):
+            self.watch.begin(one)
+        self.watch.finish(cancelled, answered=False)
+        self.watch.finish(over, answered=False)
+        await self.watch.lost(lost)
+        self.assertEqual(self.at_work(), [[1, 3]])
+
+    async def test_server_that_leaves_ends_in_peace(self):
+        self.standing.state = ServerState.LEAVING
+        lost = call(1)
+        self.watch.begin(lost)
+        self.assertIsNone(await self.watch.lost(lost))
+
+    async def test_server_that_went_dark_has_ended_when_another_start_is_listed(self):
+        # A host loses its server without a word: nothing breaks the connections
+        # and nothing refuses.  The next start shows that the calls died with it.
+        self.watch.begin(call(1))
+        self.watch.started_anew()
+        self.assertEqual(self.at_work(), [[1]])
