--- a/caperstack/platform/standin/fleet.py
+++ b/caperstack/platform/standin/fleet.py
@@ -19,7 +19,7 @@
 from caperstack.platform.standin.instance import StandinInstance
 from caperstack.platform.standin.store import StandinStore
 
-__all__ = ["Host", "PlatformFleet", "PlatformNode", "configuration", "route_row"]
+__all__ = ["Host", "PlatformFleet", "PlatformNode", "ServerEnd", "configuration", "route_row"]
 
 #: The first of the loopback addresses that stand for hosts; one for each.
 FIRST_IP = (127, 0, 0, 11)
@@ -96,6 +96,15 @@
         return [line for line in self.all_lines() if line["kind"] == kind]
 
 
+@dataclass(frozen=True, slots=True)
+class ServerEnd:
+    """A backend server that ended: when, which, and of what target if of one."""
+
+    at: float
+    instance: str
+    target: str
+
+
 @dataclass
 class Host:
     """One host of the fleet: its place, its backend server and its node."""
@@ -121,6 +130,13 @@
         The service of each host in turn.
     routes : list
         Rows as `route_row` makes them.
+
+    Attributes
+    ----------
+    ends : list of ServerEnd
+        The backend servers that requests have ended.
+    down_seconds : float
+        How long it takes until such a server has started again.
     """
 
     def __init__(self, services, routes, page_items=50):
@@ -131,6 +147,9 @@
         )
         self._ports["metrics"] = str(int(self._ports["peers"]) + 1)
         self._version = 0
+        self._reviving = set()
+        self.ends = []
+        self.down_seconds = 1.0
         self.store_addresses = [f"127.0.0.{n}:{self._ports['store']}" for n in (2, 3)]
         self.store = StandinStore(self.store_addresses, page_items)
         self.routes = routes
@@ -162,7 +181,9 @@
         }
         path = Path(self._directory.name) / f"boot-{number}.json"
         node = PlatformNode(f"node-{number}", path, self._directory.name)
-        return Host(ip, boot["zone"], instance, boot, node)
+        host = Host(ip, boot["zone"], instance, boot, node)
+        instance.on_fatal = lambda _instance, target: self.crash(host, target)
+        return host
 
     async def __aenter__(self):
         await self.store.start()
@@ -181,6 +202,8 @@
         return self
 
     async def __aexit__(self, *_):
+        for task in self._reviving:
+            task.cancel()
         for host in self.hosts:
             host.node.signal(signal.SIGCONT)
             if host.node.running:
@@ -203,6 +226,21 @@
         """Remove the entry of the host's backend server."""
         self.store.remove(f"servers/{host.instance.name}")
 
+    def crash(self, host, target=""):
+        """The backend server of `host` ends at once; another start of it follows."""
+        self.ends.append(ServerEnd(now(), host.instance.name, target))
+        task = asyncio.create_task(self._revive(host))
+        self._reviving.add(task)
+        task.add_done_callback(self._reviving.discard)
+
+    async def _revive(self, host):
+        await host.instance.crash()
+        await asyncio.sleep(self.down_seconds)
+        self.withdraw(host)
+        host.instance.name = f"i-{next(_names):06x}"
+        await host.instance.start()
+        self.register(host)
+
     def write_boot(self, host):
         """Write the start settings of `host`, as the platform does when they change."""
         host.node.boot_path.write_text(json.dumps(host.boot), encoding="utf-8")
--- a/caperstack/platform/standin/instance.py
+++ b/caperstack/platform/standin/instance.py
@@ -36,6 +36,10 @@
         the middle with a reset.
     healthy : bool
         What the health path says.
+    fatal : frozenset of str
+        Targets that end the server, when their work has lasted ``fatal_seconds``.
+    fatal_seconds : float
+        Work until then, before the pace.
     """
 
     seconds: float = 0.0
@@ -46,6 +50,8 @@
     extra_answers: bool = False
     unframed: str = ""
     healthy: bool = True
+    fatal: frozenset = frozenset()
+    fatal_seconds: float = 0.05
     body: bytes = b"whole answer"
 
 
@@ -76,6 +82,8 @@
         When it started, in milliseconds since 1970.
     broken_off : int
         Requests whose connection closed while they ran.
+    on_fatal : callable
+        Called with the instance and the target when a request has ended it.
     """
 
     address: str
@@ -89,6 +97,7 @@
     seen: list = field(default_factory=list)
     broken_off: int = 0
     running: int = 0
+    on_fatal: object = None
 
     async def start(self):
         """Listen."""
@@ -102,11 +111,15 @@
         self._server.stop()
         await self._server.close_all_connections()
 
-    async def restart(self):
-        """End with all that it runs, and start again under the same name."""
+    async def crash(self):
+        """End at once, with all that it runs."""
         for task in list(self._tasks):
             task.cancel()
         await self.stop()
+
+    async def restart(self):
+        """End with all that it runs, and start again under the same name."""
+        await self.crash()
         self.born_ms += 1000
         await self.start()
 
@@ -144,14 +157,19 @@
             seen | {"method": request.method, "target": request.uri, "body": request.body}
         )
         self.running += 1
+        fatal = request.uri in self.conduct.fatal
+        seconds = self.conduct.fatal_seconds if fatal else self.conduct.seconds
         try:
-            await asyncio.sleep(self.conduct.seconds * self.conduct.pace)
+            await asyncio.sleep(seconds * self.conduct.pace)
         except asyncio.CancelledError:
             self.broken_off += 1
             raise
         finally:
             self.running -= 1
-        self._answer(request)
+        if fatal:
+            self.on_fatal(self, request.uri)
+        else:
+            self._answer(request)
 
     def _answer(self, request):
         conduct = self.conduct
--- /dev/null
+++ b/caperstack/platform/tests/test_quarantine.py
@@ -0,0 +1,80 @@
+"""Requests that end the backend servers which run them, with real nodes on the stand-ins."""
+
+import asyncio
+import random
+import unittest
+
+from caperstack.clock import deadline_after, now
+from caperstack.platform.standin.fleet import PlatformFleet, route_row
+
+ROUTES = [
+    route_row("/list/", "slots", attempts=3),
+    route_row("/rates/", "rates"),
+]
+
+FATAL = "/list/a?page=7"
+NEIGHBOUR = "/list/a?page=8"
+POPULAR = "/list/popular"
+
+#: The operators' rule: from so long after its third end, in seconds, a request may
+#: reach backend servers so many times more.
+SETTLED_SECONDS = 3.0
+SENDS_MOST = 3
+
+
+class TestFatalRequest(unittest.IsolatedAsyncioTestCase):
+    """One request that ends each server it runs on, among others that do not.
+
+    Callers see a service lose all its servers for seconds, again and again, and are
+    refused.  One listing ends each server that runs it, 60 ms after its start; its
+    caller asks again under a new id, at any node; each node takes it for a call like
+    any other, repeats it elsewhere, and sends it on to whichever server is back.
+    Evidence: in 'backend server ended' lines of all hosts one hash is at work at
+    each end, and no other is at more than three.
+    """
+
+    async def asyncSetUp(self):
+        services = ["slots"] * 4 + ["rates"] * 2
+        self.fleet = await self.enterAsyncContext(PlatformFleet(services, list(ROUTES)))
+        self.rng = random.Random(7)
+        for host in self.fleet.hosts:
+            host.instance.conduct.seconds = 0.1
+            host.instance.conduct.fatal = frozenset((FATAL,))
+
+    async def ask(self, path, **options):
+        _, reply = await self.fleet.ask(self.rng.choice(self.fleet.hosts), path, **options)
+        return now(), reply.code
+
+    async def press(self, seconds, paths):
+        """Ask for each of `paths` at its interval, at any node; return ``(path, at, code)``."""
+        until = deadline_after(seconds)
+
+        async def one(path, interval):
+            asked = []
+            while now() < until:
+                asked.append(asyncio.create_task(self.ask(path)))
+                await asyncio.sleep(interval * self.rng.uniform(0.5, 1.5))
+            return [(path, *result) for result in await asyncio.gather(*asked)]
+
+        lanes = await asyncio.gather(*(one(path, interval) for path, interval in paths.items()))
+        return [result for lane in lanes for result in lane]
+
+    def sends(self, target):
+        runs = [run for host in self.fleet.hosts for run in host.instance.ledger]
+        return sorted(run.at for run in runs if run.target == target)
+
+    async def test_is_kept_away_once_three_servers_have_ended(self):
+        await self.press(9.0, {FATAL: 0.2, NEIGHBOUR: 0.1, POPULAR: 0.05})
+        ends = [end.at for end in self.fleet.ends]
+        self.assertGreaterEqual(len(ends), 3)
+        late = [at for at in self.sends(FATAL) if at > ends[2] + SETTLED_SECONDS]
+        self.assertLessEqual(len(late), SENDS_MOST, f"{len(ends)} ended")
+
+    async def test_others_of_its_path_and_servers_are_served_again(self):
+        # The same path with another query, and a popular listing that was at work
+        # at each of the ends: both are innocent and must not be refused for it.
+        await self.press(4.0, {FATAL: 0.2, NEIGHBOUR: 0.1, POPULAR: 0.02})
+        await asyncio.sleep(self.fleet.down_seconds + 1.0)
+        results = await self.press(3.0, {FATAL: 0.2, NEIGHBOUR: 0.1, POPULAR: 0.05})
+        refused = [result for result in results if result[0] != FATAL and result[2] != 200]
+        self.assertEqual(refused, [])
