A server that has ended gets no calls until its next start is listed

Cause: the owner went by the list alone, which names the next start later; what the port and the answers say was not heard. Change: a refused connection after a lost one, and an answer that names another instance, close the owner's gate and are told to entries at once; the list, or an answer that names the listed instance, opens it.

Why it holds: both signs come from the address itself; a stale answer is corrected by the next probe. Ruled out: going by failed probes alone (three in a row take a quarter of a second, and the next start answers them).

--- a/caperstack/admission/owner.py
+++ b/caperstack/admission/owner.py
@@ -142,6 +142,11 @@
         """Note what the backend server's health path shows."""
         self.set_state(self._standing.set_health(state))
 
+    def hear_instance(self, instance):
+        """Note which instance has answered; another one holds the address of one that ended."""
+        if instance and self._standing.instance:
+            self.set_state(self._standing.set_gone(instance != self._standing.instance))
+
     def set_state(self, state):
         """Tell everyone `state` from now on; the `CLOSED_STATES` refuse new calls.
 
@@ -186,6 +191,7 @@
         standing.instance = instance
         standing.born_ms = born_ms
         standing.service = service
+        self.set_state(standing.set_gone(False))
         self._pace.restart()
         if not first:
             self._start_anew(moved)
@@ -211,6 +217,7 @@
             end=f"{end.number:016x}",
             at_work={call.request_id: call.fingerprint.text for call in end.calls.values()},
         )
+        self.set_state(self._standing.set_gone(True))
 
     def resize(self, slots):
         """The backend server has so many slots from now on."""
--- a/caperstack/admission/standing.py
+++ b/caperstack/admission/standing.py
@@ -26,6 +26,7 @@
         self._state = ServerState.WARM
         self._health = ServerState.WARM
         self._listed = True
+        self._gone = False
         self._answering_until = 0.0
         self.instance = ""
         self.born_ms = 0
@@ -65,6 +66,24 @@
     def set_health(self, state):
         """Note what the health path shows; return the state that follows."""
         self._health = state
+        if state == ServerState.WARM and not self.instance:
+            # Nothing names who answers there: whoever does is the server.
+            self._gone = False
+        return self._worse()
+
+    def set_gone(self, gone):
+        """Note whether the listed server has ended; return the state that follows.
+
+        Notes
+        -----
+        Failure: a backend server ends and another start of it takes its address.
+        Until the list names that one, calls go on to the address, which turns
+        them away one by one (90 of 104 in the first second of such a server on a
+        day of a crashing service), and each counts against the allowance for
+        repeats.  The port that refuses a connection, and an answer that names
+        another instance, tell it at once.
+        """
+        self._gone = gone
         return self._worse()
 
     def _worse(self):
@@ -78,4 +97,6 @@
         """
         if self.node_leaves:
             return self._state
-        return self._health if self._listed else ServerState.LEAVING
+        if not self._listed:
+            return ServerState.LEAVING
+        return ServerState.DOWN if self._gone else self._health
--- a/caperstack/admission/tests/test_owner.py
+++ b/caperstack/admission/tests/test_owner.py
@@ -530,6 +530,29 @@
         self.assertEqual(len({outcome.end for outcome in outcomes} - {0}), 1)
         self.assertEqual([self.suspects.count(Fingerprint(n, 1)) for n in (1, 2)], [1, 1])
 
+    async def test_server_that_ended_gets_no_calls_until_another_start_is_listed(self):
+        # Its port refuses connections, then another start answers there that the
+        # list does not name yet.  Calls are refused without being sent.
+        self.owner.assign("i-1", "s")
+        self.client.listening = False
+        task = asyncio.create_task(self.owner.run(self.fatal(1)))
+        await self.turn()
+        self.client.answer(1, BackendError("connection closed", step="answer"))
+        await task
+        self.assertEqual(self.owner.state, ServerState.DOWN)
+        self.owner.hear_instance("i-2")
+        self.owner.set_health(ServerState.WARM)
+        self.assertIsInstance(await self.owner.run(self.fatal(2)), NotRun)
+        self.owner.assign("i-2", "s")
+        self.assertEqual(self.owner.state, ServerState.WARM)
+
+    async def test_server_that_answers_again_under_its_name_gets_calls(self):
+        self.owner.assign("i-1", "s")
+        self.owner.hear_instance("i-2")
+        self.assertEqual(self.owner.state, ServerState.DOWN)
+        self.owner.hear_instance("i-1")
+        self.assertEqual(self.owner.state, ServerState.WARM)
+
     async def test_lost_answer_of_a_server_that_lives_blames_nobody(self):
         task = asyncio.create_task(self.owner.run(self.fatal(1)))
         await self.turn()
--- a/caperstack/backend/pace.py
+++ b/caperstack/backend/pace.py
@@ -64,6 +64,7 @@
         self._task.cancel()
 
     def _take_report(self, report):
+        self._owner.hear_instance(report.instance)
         if report.slots:
             self._paced = True
             self._told_at = now()
--- a/caperstack/backend/tests/test_pace.py
+++ b/caperstack/backend/tests/test_pace.py
@@ -46,6 +46,7 @@
                 expect_pace=lambda refresh: None,
                 set_pace=lambda pace: None,
                 set_health=lambda state: None,
+                hear_instance=lambda instance: None,
             )
             services = {
                 "owner": owner,
--- a/caperstack/platform/standin/fleet.py
+++ b/caperstack/platform/standin/fleet.py
@@ -137,6 +137,8 @@
         The backend servers that requests have ended.
     down_seconds : float
         How long it takes until such a server has started again.
+    unlisted_seconds : float
+        How long after its start until it registers.
     """
 
     def __init__(self, services, routes, page_items=50):
@@ -150,6 +152,7 @@
         self._reviving = set()
         self.ends = []
         self.down_seconds = 1.0
+        self.unlisted_seconds = 0.0
         self.store_addresses = [f"127.0.0.{n}:{self._ports['store']}" for n in (2, 3)]
         self.store = StandinStore(self.store_addresses, page_items)
         self.routes = routes
@@ -239,6 +242,7 @@
         self.withdraw(host)
         host.instance.name = f"i-{next(_names):06x}"
         await host.instance.start()
+        await asyncio.sleep(self.unlisted_seconds)
         self.register(host)
 
     def write_boot(self, host):
--- a/caperstack/platform/standin/instance.py
+++ b/caperstack/platform/standin/instance.py
@@ -82,6 +82,8 @@
         When it started, in milliseconds since 1970.
     broken_off : int
         Requests whose connection closed while they ran.
+    misdirected : int
+        Requests that were meant for another instance.
     on_fatal : callable
         Called with the instance and the target when a request has ended it.
     """
@@ -96,6 +98,7 @@
     ledger: list = field(default_factory=list)
     seen: list = field(default_factory=list)
     broken_off: int = 0
+    misdirected: int = 0
     running: int = 0
     on_fatal: object = None
 
@@ -142,6 +145,7 @@
         if request.path == "/health":
             self._write(request, 200 if self.conduct.healthy else 503, b"", {})
         elif request.headers.get(DIALECT.target_instance, self.name) != self.name:
+            self.misdirected += 1
             self._write(request, 421, b"", {})
         elif self.conduct.refuse:
             self._write(request, 503, b"", {DIALECT.not_executed: "1"})
--- a/caperstack/platform/tests/test_path.py
+++ b/caperstack/platform/tests/test_path.py
@@ -187,6 +187,26 @@
 
         await self.until(works, "the new start gets work")
 
+    async def test_server_that_ended_gets_no_calls_until_its_next_start_is_listed(self):
+        # The only backend server of a service crashes; another start of it takes
+        # its address and is listed a second later.  Calls that still name the first
+        # one are turned away: each counts as a send, and the fleet's allowance for
+        # repeats is spent on them.  They are refused without being sent.
+        self.fleet.down_seconds = 0.2
+        self.fleet.unlisted_seconds = 1.0
+        self.fleet.crash(self.third)
+        await asyncio.sleep(0.3)
+        for _ in range(60):
+            _, reply = await self.fleet.ask(self.first, "/rates/")
+            self.assertIn(reply.code, (200, 503))
+            await asyncio.sleep(0.01)
+        self.assertLessEqual(self.third.instance.misdirected, 2)
+
+        async def works():
+            return (await self.fleet.ask(self.first, "/rates/"))[1].code == 200
+
+        await self.until(works, "the next start gets work")
+
     async def test_foreign_entry_in_the_place_of_a_good_one_names_no_server(self):
         # Another writer puts bytes of its own where a backend server had
         # registered.  No call goes there until its next heartbeat; the other
