The test of the question before a start sets how old a reading may be

Cause, shown by a run with a pause of 30 ms in that place: the reading was older than 20 ms by the time the call arrived, so the owner asked, as it should. The first half now says that its reading counts as fresh, the second that it does not; both assertions are as before.

--- a/caperstack/admission/tests/test_owner.py
+++ b/caperstack/admission/tests/test_owner.py
@@ -139,8 +139,9 @@
 
         self.owner.set_pace(1.0)
         self.owner.expect_pace(refresh)
-        running = self.begin(1)
-        await self.turn()
+        with mock.patch("caperstack.admission.owner.FRESH_READING_SECONDS", 60.0):
+            running = self.begin(1)
+            await self.turn()
         self.assertEqual((asked, self.client.started), ([], [1]))
         with mock.patch("caperstack.admission.owner.FRESH_READING_SECONDS", 0.0):
             self.assertIsInstance(await self.begin(2), NotRun)
