Calls that were out at a silent server's last sign of life bear its end

What callers would see: a server that goes dark of a request, without breaking a connection, is replaced seconds later; its calls were given up at their deadlines by then, so nobody was to blame and the request went on.

Cause: an end noticed by the list counted only calls whose deadline lay ahead. Change: calls without an answer are kept from the server's last sign of life on (an answer or a probe), 36 before it and 36 after; what was over when the server answered is not blamed. The test of a dark server fails without it.

--- a/caperstack/admission/owner.py
+++ b/caperstack/admission/owner.py
@@ -144,6 +144,8 @@
 
     def hear_instance(self, instance):
         """Note which instance has answered; another one holds the address of one that ended."""
+        if instance == self._standing.instance:
+            self._watch.note_life()
         if instance and self._standing.instance:
             self.set_state(self._standing.set_gone(instance != self._standing.instance))
 
--- a/caperstack/quarantine/crash.py
+++ b/caperstack/quarantine/crash.py
@@ -14,8 +14,10 @@
 #: seconds; on its own host a connection takes 0.2 ms, and so does its refusal.
 ASK_SECONDS = 0.05
 
-#: Calls without an answer that may be at work still, the latest ones: twice the
-#: slots of the largest backend server of the sheets.
+#: Calls without an answer that may be at work still: the latest until the server's
+#: last sign of life, twice the slots of the largest backend server of the sheets,
+#: and the first ones after it.  What comes later to a server that has gone silent
+#: did not make it so.
 UNANSWERED_MOST = 36
 
 #: Bits of an end's number that tell it apart from others of the same microsecond;
@@ -65,7 +67,8 @@
         self._client = client
         self._standing = standing
         self._at_work = {}
-        self._unanswered = deque(maxlen=UNANSWERED_MOST)
+        self._unanswered = deque()
+        self._alive_at = now()
         self._asking = None
         self._last = None
         self._listeners = []
@@ -87,9 +90,20 @@
         the server works on, and ends of it.  Nothing that was known to be at work
         would bear the blame, and others would.
         """
-        if self._at_work.pop((call.origin, call.id), None) is not None and not answered:
+        was_out = self._at_work.pop((call.origin, call.id), None) is not None
+        if answered:
+            self.note_life()
+        elif was_out and len(self._unanswered) < 2 * UNANSWERED_MOST:
             self._unanswered.append(call)
 
+    def note_life(self):
+        """The backend server has answered something: what is over by now did not end it."""
+        self._alive_at = now()
+        while self._unanswered and (
+            self._unanswered[0].deadline < self._alive_at or len(self._unanswered) > UNANSWERED_MOST
+        ):
+            self._unanswered.popleft()
+
     async def lost(self, call):
         """Return the `ServerEnd` that took `call`, or ``None`` if the server lives."""
         if not self._took(call):
@@ -124,8 +138,10 @@
         return wall_microseconds() << CHANCE_BITS | hash_number(name) >> (64 - CHANCE_BITS)
 
     def _end(self):
-        moment = now()
-        calls = [call for call in self._unanswered if call.deadline > moment]
+        # Failure: a server goes silent without breaking a connection, and its
+        # calls are given up long before another start of it is listed.  What it
+        # was at work on is what was out at its last sign of life.
+        calls = [call for call in self._unanswered if call.deadline > self._alive_at]
         calls += self._at_work.values()
         self._unanswered.clear()
         self._at_work.clear()
--- a/caperstack/quarantine/tests/test_crash.py
+++ b/caperstack/quarantine/tests/test_crash.py
@@ -1,11 +1,12 @@
 """What counts as the end of a backend server, and which calls were at work then."""
 
+import asyncio
 import unittest
 from types import SimpleNamespace
 
 from caperstack.calls.model import Call, ServerState
 from caperstack.clock import deadline_after
-from caperstack.quarantine.crash import CrashWatch
+from caperstack.quarantine.crash import UNANSWERED_MOST, CrashWatch
 
 
 def call(number, seconds=5.0):
@@ -78,3 +79,31 @@
         self.watch.begin(call(1))
         self.watch.started_anew()
         self.assertEqual(self.at_work(), [[1]])
+
+    async def test_calls_that_were_given_up_on_a_dark_server_bear_its_end(self):
+        # A server goes silent of a call; the call is given up at its deadline, and
+        # so are many that were sent after it, until another start is listed.  The
+        # first ones that were out when it last answered are to blame.
+        culprit = call(1, seconds=0.02)
+        self.watch.note_life()
+        self.watch.begin(culprit)
+        await asyncio.sleep(0.03)
+        self.watch.finish(culprit, answered=False)
+        for number in range(2, 3 * UNANSWERED_MOST):
+            later = call(number, seconds=0.0)
+            self.watch.begin(later)
+            self.watch.finish(later, answered=False)
+        self.watch.started_anew()
+        self.assertEqual(self.at_work()[0][0], 1)
+        self.assertLessEqual(len(self.at_work()[0]), 2 * UNANSWERED_MOST)
+
+    async def test_calls_that_were_over_when_the_server_answered_are_not_blamed(self):
+        over = call(1, seconds=0.01)
+        self.watch.begin(over)
+        self.watch.finish(over, answered=False)
+        await asyncio.sleep(0.02)
+        self.watch.note_life()
+        lost = call(2)
+        self.watch.begin(lost)
+        await self.watch.lost(lost)
+        self.assertEqual(self.at_work(), [[2]])
