The soak brings requests that end servers, and servers that crash by themselves

The soak's callers ask again for 7 s, at any node, beside all other faults; the judge holds it to the operators' rule (three more sends from 3 s after the third end, by nodes that were themselves meanwhile). Asking moved to a module of its own, which faults use too.

--- a/caperstack/soak/faults.py
+++ b/caperstack/soak/faults.py
@@ -5,6 +5,7 @@
 import signal
 
 from caperstack.clock import now
+from caperstack.soak.asking import ask
 from caperstack.soak.ground import Fact
 
 __all__ = ["FAULTS", "PROCESS_FAULTS", "SERVICES_OF_MOVING", "change_configuration"]
@@ -17,6 +18,12 @@
 LEAVES_AFTER_SECONDS = 4.0
 
 _instances = itertools.count(1)
+_fatal = itertools.count(1)
+
+#: For how long a request that ends servers comes again and again, in seconds, and
+#: how long its callers wait in between, at least and at most.
+FATAL_SECONDS = 7.0
+FATAL_AGAIN_SECONDS = (0.02, 0.5)
 
 
 async def _start_again(ground, host, window):
@@ -104,6 +111,26 @@
     ground.fleet.register(host)
 
 
+async def fatal_request(ground):
+    """A request ends each server that runs it, and comes again at any node."""
+    target = f"/listings/fatal-{next(_fatal)}"
+    for host in ground.fleet.hosts:
+        host.instance.conduct.fatal |= {target}
+    ground.fatal.append(target)
+    tasks = []
+    until = now() + FATAL_SECONDS
+    while now() < until:
+        tasks.append(asyncio.create_task(ask(ground, target, False)))
+        await asyncio.sleep(ground.rng.uniform(*FATAL_AGAIN_SECONDS))
+    ground.asked += await asyncio.gather(*tasks)
+
+
+async def crash_server(ground):
+    """A backend server ends without a cause in what it runs, and starts again."""
+    ground.fleet.crash(ground.some_host())
+    await asyncio.sleep(ground.fleet.down_seconds)
+
+
 def _conduct(seconds, **troubles):
     async def fault(ground):
         conduct = ground.some_host().instance.conduct
@@ -145,6 +172,8 @@
     "store cuts": _store(cut=True),
     "store slow": _store(delay_seconds=0.3),
     "server replaced": replace_server,
+    "server crashes": crash_server,
+    "fatal request": fatal_request,
     "server loses answers": _conduct(1.5, lose_answers=True),
     "server answers twice": _conduct(2.0, extra_answers=True),
     "server cuts answers": _conduct(1.5, unframed="reset"),
--- a/caperstack/soak/ground.py
+++ b/caperstack/soak/ground.py
@@ -38,7 +38,15 @@
 
 @dataclass
 class Ground:
-    """A fleet on the platform's stand-ins under trouble."""
+    """A fleet on the platform's stand-ins under trouble.
+
+    Attributes
+    ----------
+    fatal : list of str
+        The targets that end the servers which run them.
+    asked : list of caperstack.soak.asking.Asked
+        The requests that faults have made.
+    """
 
     fleet: object
     rng: object
@@ -48,6 +56,8 @@
     configurations: list = field(default_factory=list)
     faults: Counter = field(default_factory=Counter)
     problems: list = field(default_factory=list)
+    fatal: list = field(default_factory=list)
+    asked: list = field(default_factory=list)
 
     def note(self, text):
         """Tell what happens now, for whoever reads the run."""
--- a/caperstack/soak/judge.py
+++ b/caperstack/soak/judge.py
@@ -1,8 +1,8 @@
 """What callers and backend servers saw, held against the promises."""
 
 from collections import Counter, defaultdict
-from dataclasses import dataclass
 
+from caperstack.soak.asking import CUT, NOBODY_LISTENS, Asked
 from caperstack.soak.faults import FAULTS
 from caperstack.soak.verdict import Verdict
 
@@ -15,28 +15,14 @@
 #: The scheduling of a busy machine, in seconds.
 SLACK_SECONDS = 0.5
 
-#: What stands for the status of a request whose connection was closed without an
-#: answer, and of one that found nobody listening.
-CUT = 0
-NOBODY_LISTENS = -1
+#: From so long after its third end, in seconds, a request that ends servers may be
+#: sent so many times more by nodes that were themselves for as long.
+SETTLED_SECONDS = 3.0
+SENDS_MOST = 3
 
 REFUSALS = frozenset((408, 421, 429, 503))
 
 
-@dataclass(frozen=True)
-class Asked:
-    """One request of a caller and what it got: a status, `CUT` or `NOBODY_LISTENS`."""
-
-    name: str
-    path: str
-    host: str
-    begun: float
-    ended: float
-    code: int
-    whole: bool
-    once: bool
-
-
 def judge(ground, asked, attempts_most):
     """Return the `caperstack.soak.verdict.Verdict` on a soak.
 
@@ -60,6 +46,7 @@
     known = {one.name for one in asked}
     broken["nobody asked"] = [name for name in runs if name not in known]
     broken["after leaving"] = list(_after_leaving(ground, runs))
+    broken["fatal request kept away"] = list(_fatal_sent_on(ground, runs))
     broken["node"] = list(ground.problems)
     outcomes = Counter(one.code for one in asked)
     found = {promise: cases for promise, cases in broken.items() if cases}
@@ -112,3 +99,19 @@
                 continue
             if not ground.troubled(at, run.at):
                 yield f"{name} at {run.instance}, {run.at - at:.2f} s after it left"
+
+
+def _fatal_sent_on(ground, runs):
+    """Yield the targets of requests that went on to servers though three had ended of them."""
+    every = [run for own in runs.values() for run in own]
+    for target in ground.fatal:
+        ends = sorted(end.at for end in ground.fleet.ends if end.target == target)
+        if len(ends) < 3:
+            continue
+        late = [run.at for run in every if run.target == target and run.at > ends[2]]
+        settled = SETTLED_SECONDS + SLACK_SECONDS
+        counted = [
+            at for at in late if at > ends[2] + settled and not ground.troubled(at - settled, at)
+        ]
+        if len(counted) > SENDS_MOST:
+            yield f"{target} {len(counted)} times, {len(ends)} ended"
--- a/caperstack/soak/platform.py
+++ b/caperstack/soak/platform.py
@@ -4,20 +4,18 @@
 import itertools
 import random
 
-from tornado.httpclient import HTTPClientError
-
 from caperstack.clock import deadline_after, now
 from caperstack.platform.standin.fleet import PlatformFleet, route_row
+from caperstack.soak.asking import ask
 from caperstack.soak.faults import FAULTS, PROCESS_FAULTS
 from caperstack.soak.ground import Fact, Ground
-from caperstack.soak.judge import CUT, NOBODY_LISTENS, Asked, judge
+from caperstack.soak.judge import judge
 
 __all__ = ["run_soak"]
 
 SERVICES = ("listings", "listings", "rates", "rates", "bookings", "bookings")
 ATTEMPTS = 2
 WORK_SECONDS = 0.03
-BODY = b"whole answer"
 
 #: Path, how often it is asked for, and whether a request may run once only.
 PATHS = (
@@ -41,28 +39,13 @@
     return rows
 
 
-async def _ask(ground, path, once):
-    host = ground.some_host()
-    begun = now()
-    method = "POST" if once else "GET"
-    name = ground.fleet.new_name()
-    try:
-        _, reply = await ground.fleet.ask(host, path, method, name=name)
-        code, whole = reply.code, reply.body == BODY
-    except ConnectionRefusedError:
-        code, whole = NOBODY_LISTENS, True
-    except (OSError, HTTPClientError):
-        code, whole = CUT, True
-    return Asked(name, path, host.ip, begun, now(), code, whole, once)
-
-
 async def _drive(ground, seconds, rate):
     tasks = []
     end = deadline_after(seconds)
     weights = [weight for _, weight, _ in PATHS]
     while now() < end:
         path, _, once = ground.rng.choices(PATHS, weights)[0]
-        tasks.append(asyncio.create_task(_ask(ground, path, once)))
+        tasks.append(asyncio.create_task(ask(ground, path, once)))
         await asyncio.sleep(ground.rng.expovariate(rate))
     return await asyncio.gather(*tasks)
 
@@ -92,7 +75,7 @@
     """Note a problem unless everybody is served again in time."""
     limit = deadline_after(RECOVERY_SECONDS)
     while now() < limit:
-        asked = [await _ask(ground, "/listings/", False) for _ in range(CALM_CALLS)]
+        asked = [await ask(ground, "/listings/", False) for _ in range(CALM_CALLS)]
         if all(one.code == 200 for one in asked):
             return asked
         await asyncio.sleep(0.2)
@@ -122,5 +105,6 @@
         lanes = [asyncio.create_task(_harass(ground, names, until)) for names in _lanes(rng)]
         asked = await _drive(ground, seconds, rate)
         await asyncio.gather(*lanes)
+        asked += ground.asked
         asked += await _recover(ground)
         return judge(ground, asked, ATTEMPTS)
--- a/caperstack/soak/tests/test_judge.py
+++ b/caperstack/soak/tests/test_judge.py
@@ -6,6 +6,7 @@
 import unittest
 from types import SimpleNamespace
 
+from caperstack.platform.standin.fleet import ServerEnd
 from caperstack.platform.standin.instance import Run
 from caperstack.soak.ground import Fact, Ground, Window
 from caperstack.soak.judge import CUT, NOBODY_LISTENS, Asked, judge
@@ -18,7 +19,8 @@
     def setUp(self):
         self.ledger = []
         host = SimpleNamespace(ip="h1", instance=SimpleNamespace(ledger=self.ledger))
-        self.ground = Ground(SimpleNamespace(hosts=[host]), random.Random(1), 0.0)
+        self.fleet = SimpleNamespace(hosts=[host], ends=[])
+        self.ground = Ground(self.fleet, random.Random(1), 0.0)
 
     def run_once(self, name="r", at=10.0, instance="i1", service="bookings", target="/bookings/"):
         self.ledger.append(Run(name, at, instance, service, target))
@@ -57,6 +59,19 @@
         self.ground.windows.append(Window("h1", 9.0, 10.05))
         self.assertEqual(self.broken(code=CUT), set())
 
+    def test_fatal_request_is_sent_on(self):
+        # Three servers have ended of it; four sends follow after three seconds, or
+        # while a node is not itself.
+        target = "/listings/fatal"
+        self.ground.fatal.append(target)
+        self.fleet.ends += [ServerEnd(float(at), f"i{at}", target) for at in (1, 2, 3)]
+        for number in range(4):
+            self.run_once(f"r{number}", 8.0 + number / 10, "i4", "listings", target)
+        asked = [Asked(f"r{n}", target, "h1", 8.0, 9.0, 502, True, False) for n in range(4)]
+        self.assertEqual(set(judge(self.ground, asked, 2).broken), {"fatal request kept away"})
+        self.ground.windows.append(Window("h1", 6.0, 7.0))
+        self.assertEqual(judge(self.ground, asked, 2).broken, {})
+
     def test_run_that_nobody_asked_for(self):
         self.run_once(name="other")
         self.assertIn("nobody asked", self.broken(code=503))
