The soak judges a fatal request by the nodes that remember it

Now the node beside the server counts, trouble of the store excuses nothing, a full stop begins anew, and half of the seeds have none.

--- a/caperstack/soak/faults.py
+++ b/caperstack/soak/faults.py
@@ -8,7 +8,7 @@
 from caperstack.soak.asking import ask
 from caperstack.soak.ground import Fact
 
-__all__ = ["FAULTS", "PROCESS_FAULTS", "SERVICES_OF_MOVING", "change_configuration"]
+__all__ = ["FAULTS", "FULL_STOP", "PROCESS_FAULTS", "SERVICES_OF_MOVING", "change_configuration"]
 
 #: The services between which one path moves with each configuration.
 MOVING = "/moving/"
@@ -22,7 +22,7 @@
 
 #: For how long a request that ends servers comes again and again, in seconds, and
 #: how long its callers wait in between, at least and at most.
-FATAL_SECONDS = 7.0
+FATAL_SECONDS = 10.0
 FATAL_AGAIN_SECONDS = (0.02, 0.5)
 
 
@@ -44,6 +44,7 @@
 
 async def kill_all(ground):
     """Kill all nodes at the same moment."""
+    ground.full_stops.append(now())
     windows = [ground.open_window(host) for host in ground.fleet.hosts]
     for host in ground.fleet.hosts:
         host.node.signal(signal.SIGKILL)
@@ -81,7 +82,7 @@
         for address in chosen:
             for name, value in troubles.items():
                 setattr(ground.fleet.store.troubles[address], name, value)
-        windows = [ground.open_window(host) for host in ground.fleet.hosts]
+        windows = [ground.open_window(host, process=False) for host in ground.fleet.hosts]
         await asyncio.sleep(ground.rng.uniform(1.0, 5.0))
         for address in chosen:
             for name, value in troubles.items():
@@ -158,9 +159,10 @@
 
 
 #: Faults of the nodes' processes; one at a time.
+FULL_STOP = "kill all"
 PROCESS_FAULTS = {
     "kill node": kill_node,
-    "kill all": kill_all,
+    FULL_STOP: kill_all,
     "stop node": stop_node,
     "suspend node": suspend_node,
 }
--- a/caperstack/soak/ground.py
+++ b/caperstack/soak/ground.py
@@ -10,11 +10,18 @@
 
 @dataclass
 class Window:
-    """A time in which a host's node was not itself; an open one has no end."""
+    """A time in which a host's node was not itself; an open one has no end.
+
+    Attributes
+    ----------
+    process : bool
+        The node's own process was in trouble, not only the store.
+    """
 
     host: str
     begin: float
     end: float = float("inf")
+    process: bool = True
 
 
 @dataclass(frozen=True)
@@ -46,6 +53,8 @@
         The targets that end the servers which run them.
     asked : list of caperstack.soak.asking.Asked
         The requests that faults have made.
+    full_stops : list of float
+        When all nodes ended at once, and with them all that they remembered.
     """
 
     fleet: object
@@ -58,6 +67,7 @@
     problems: list = field(default_factory=list)
     fatal: list = field(default_factory=list)
     asked: list = field(default_factory=list)
+    full_stops: list = field(default_factory=list)
 
     def note(self, text):
         """Tell what happens now, for whoever reads the run."""
@@ -67,16 +77,19 @@
         """Return a host at random."""
         return self.rng.choice(self.fleet.hosts)
 
-    def open_window(self, host):
+    def open_window(self, host, process=True):
         """Note that the node of `host` is not itself from now on; return the `Window`."""
-        window = Window(host.ip, now())
+        window = Window(host.ip, now(), process=process)
         self.windows.append(window)
         return window
 
-    def troubled(self, begin, end, host=None):
-        """Return whether a node, that of `host` or any, was not itself between two moments."""
+    def troubled(self, begin, end, host=None, store=True):
+        """Return whether a node, that of `host` or any, was not itself between two moments.
+
+        Without `store` its process alone counts.
+        """
         return any(
             window.begin <= end and begin <= window.end
             for window in self.windows
-            if host in (None, window.host)
+            if host in (None, window.host) and (store or window.process)
         )
--- a/caperstack/soak/judge.py
+++ b/caperstack/soak/judge.py
@@ -1,6 +1,7 @@
 """What callers and backend servers saw, held against the promises."""
 
 from collections import Counter, defaultdict
+from itertools import pairwise
 
 from caperstack.soak.asking import CUT, NOBODY_LISTENS, Asked
 from caperstack.soak.faults import FAULTS
@@ -103,15 +104,21 @@
 
 def _fatal_sent_on(ground, runs):
     """Yield the targets of requests that went on to servers though three had ended of them."""
-    every = [run for own in runs.values() for run in own]
+    borders = [0.0, *sorted(ground.full_stops), float("inf")]
     for target in ground.fatal:
         ends = sorted(end.at for end in ground.fleet.ends if end.target == target)
-        if len(ends) < 3:
-            continue
-        late = [run.at for run in every if run.target == target and run.at > ends[2]]
-        settled = SETTLED_SECONDS + SLACK_SECONDS
-        counted = [
-            at for at in late if at > ends[2] + settled and not ground.troubled(at - settled, at)
-        ]
-        if len(counted) > SENDS_MOST:
-            yield f"{target} {len(counted)} times, {len(ends)} ended"
+        sends = [run for own in runs.values() for run in own if run.target == target]
+        for begin, end in pairwise(borders):
+            # What nodes knew of it is gone with the last of them.
+            own_ends = [at for at in ends if begin < at <= end]
+            late = [run for run in sends if begin < run.at <= end and _late(ground, run, own_ends)]
+            if len(late) > SENDS_MOST:
+                yield f"{target} {len(late)} times, {len(own_ends)} ended"
+
+
+def _late(ground, run, ends):
+    """Return whether the node beside the server should have kept a request away from it."""
+    settled = SETTLED_SECONDS + SLACK_SECONDS
+    host = next(h.ip for h in ground.fleet.hosts if run in h.instance.ledger)
+    itself = not ground.troubled(run.at - settled, run.at, host, store=False)
+    return itself and len(ends) >= 3 and run.at > ends[2] + settled
--- a/caperstack/soak/platform.py
+++ b/caperstack/soak/platform.py
@@ -7,7 +7,7 @@
 from caperstack.clock import deadline_after, now
 from caperstack.platform.standin.fleet import PlatformFleet, route_row
 from caperstack.soak.asking import ask
-from caperstack.soak.faults import FAULTS, PROCESS_FAULTS
+from caperstack.soak.faults import FAULTS, FULL_STOP, PROCESS_FAULTS
 from caperstack.soak.ground import Fact, Ground
 from caperstack.soak.judge import judge
 
@@ -25,6 +25,10 @@
     ("/moving/", 1, False),
 )
 
+#: In this share of the seeds the nodes are never all killed at once: a full stop each ten
+#: seconds would forgive whatever nodes have to remember together.
+FULL_STOPS_IN = 0.5
+
 #: How long a fleet may take to serve everybody again after the last fault.
 RECOVERY_SECONDS = 15.0
 CALM_CALLS = 20
@@ -66,7 +70,10 @@
     others = [name for name in FAULTS if name not in PROCESS_FAULTS]
     store = [name for name in others if name.startswith("store")]
     servers = [name for name in others if not name.startswith("store")]
-    for names in (list(PROCESS_FAULTS), store, servers):
+    processes = list(PROCESS_FAULTS)
+    if rng.random() < FULL_STOPS_IN:
+        processes.remove(FULL_STOP)
+    for names in (processes, store, servers):
         rng.shuffle(names)
         yield itertools.cycle(names)
 
--- a/caperstack/soak/tests/test_judge.py
+++ b/caperstack/soak/tests/test_judge.py
@@ -69,9 +69,23 @@
             self.run_once(f"r{number}", 8.0 + number / 10, "i4", "listings", target)
         asked = [Asked(f"r{n}", target, "h1", 8.0, 9.0, 502, True, False) for n in range(4)]
         self.assertEqual(set(judge(self.ground, asked, 2).broken), {"fatal request kept away"})
+        self.ground.windows.append(Window("h1", 6.0, 7.0, process=False))
+        self.assertEqual(set(judge(self.ground, asked, 2).broken), {"fatal request kept away"})
         self.ground.windows.append(Window("h1", 6.0, 7.0))
         self.assertEqual(judge(self.ground, asked, 2).broken, {})
 
+    def test_fatal_request_is_forgotten_with_all_nodes(self):
+        # All nodes are killed after the third end: three more may end before it is
+        # known again.
+        target = "/listings/fatal"
+        self.ground.fatal.append(target)
+        self.fleet.ends += [ServerEnd(float(at), f"i{at}", target) for at in (1, 2, 3)]
+        self.ground.full_stops.append(4.0)
+        for number in range(4):
+            self.run_once(f"r{number}", 8.0 + number / 10, "i4", "listings", target)
+        asked = [Asked(f"r{n}", target, "h1", 8.0, 9.0, 502, True, False) for n in range(4)]
+        self.assertEqual(judge(self.ground, asked, 2).broken, {})
+
     def test_run_that_nobody_asked_for(self):
         self.run_once(name="other")
         self.assertIn("nobody asked", self.broken(code=503))
