What is kept of calls at work is small; news of suspects is bounded and logged

Kept now: id, fingerprint, deadline. The wire bounds what a peer may say, and each turn in which something is new writes one line with who told it.

--- a/caperstack/admission/owner.py
+++ b/caperstack/admission/owner.py
@@ -212,12 +212,12 @@
 
     def _on_end(self, end):
         self._metrics.count("backend_ends")
-        self._suspects.note_end(end.number, [call.fingerprint for call in end.calls.values()])
+        self._suspects.note_end(end.number, [work.fingerprint for work in end.works.values()])
         self._events.line(
             "backend server ended",
             instance=end.instance,
             end=f"{end.number:016x}",
-            at_work={call.request_id: call.fingerprint.text for call in end.calls.values()},
+            at_work={work.request_id: work.fingerprint.text for work in end.works.values()},
         )
         self.set_state(self._standing.set_gone(True))
 
--- a/caperstack/peers/messages.py
+++ b/caperstack/peers/messages.py
@@ -1,5 +1,7 @@
 """The typed messages between nodes."""
 
+from typing import Annotated
+
 import msgspec
 
 __all__ = [
@@ -32,6 +34,12 @@
 VERSION = 4
 
 
+#: More ends of one request than a node keeps are never told of it.
+ENDS_TOLD_MOST = 32
+
+_Hash = Annotated[int, msgspec.Meta(ge=0)]
+
+
 class _Message(msgspec.Struct, array_like=True, gc=False):
     pass
 
@@ -248,16 +256,16 @@
 class SuspectedEnd(_Message):
     """A `caperstack.quarantine.suspects.End` on the wire."""
 
-    number: int
-    caller: int
-    clearing: int
+    number: _Hash
+    caller: _Hash
+    clearing: Annotated[int, msgspec.Meta(ge=0, le=2)]
 
 
 class SuspicionReport(_Message):
     """A `caperstack.quarantine.suspects.Suspicion` on the wire."""
 
-    request: int
-    ends: list[SuspectedEnd]
+    request: _Hash
+    ends: Annotated[list[SuspectedEnd], msgspec.Meta(max_length=ENDS_TOLD_MOST)]
 
 
 class Suspicions(_Message, tag=20):
--- a/caperstack/platform/tests/test_suspect_growth.py
+++ b/caperstack/platform/tests/test_suspect_growth.py
@@ -19,7 +19,7 @@
 TOLD_SECONDS = 0.5
 
 #: Messages a node may send for one end, however large the fleet is.
-MESSAGES_MOST = 17
+MESSAGES_MOST = 16
 
 
 async def _told(size):
--- a/caperstack/quarantine/crash.py
+++ b/caperstack/quarantine/crash.py
@@ -4,11 +4,12 @@
 from collections import deque
 from dataclasses import dataclass
 
+from caperstack.calls.fingerprint import Fingerprint
 from caperstack.calls.model import ServerState
 from caperstack.clock import deadline_after, now, wall_microseconds
 from caperstack.membership.order import hash_number
 
-__all__ = ["CrashWatch", "ServerEnd"]
+__all__ = ["CrashWatch", "ServerEnd", "Work"]
 
 #: How long the question waits whether the backend server still listens, in
 #: seconds; on its own host a connection takes 0.2 ms, and so does its refusal.
@@ -25,6 +26,22 @@
 CHANCE_BITS = 12
 
 
+@dataclass(frozen=True, slots=True)
+class Work:
+    """What is kept of a call that is at work; its body is not, which may be large."""
+
+    origin: str
+    number: int
+    request_id: str
+    fingerprint: Fingerprint
+    deadline: float
+
+    @classmethod
+    def of(cls, call):
+        """Return what to keep of `call`."""
+        return cls(call.origin, call.id, call.request_id, call.fingerprint, call.deadline)
+
+
 @dataclass(frozen=True, slots=True)
 class ServerEnd:
     """A backend server that ended while calls were at work.
@@ -35,13 +52,13 @@
         Names this end among all ends of all servers; a later one has a higher number.
     instance : str
         The instance that ended.
-    calls : dict
-        The calls that were at work, by entry and number.
+    works : dict
+        The `Work` of each call that was at work, by entry and number.
     """
 
     number: int
     instance: str
-    calls: dict
+    works: dict
 
 
 class CrashWatch:
@@ -79,7 +96,7 @@
 
     def begin(self, call):
         """`call` goes to the backend server."""
-        self._at_work[call.origin, call.id] = call
+        self._at_work[call.origin, call.id] = Work.of(call)
 
     def finish(self, call, answered):
         """`call` is over here; without an answer it may be at work there still.
@@ -90,11 +107,11 @@
         the server works on, and ends of it.  Nothing that was known to be at work
         would bear the blame, and others would.
         """
-        was_out = self._at_work.pop((call.origin, call.id), None) is not None
+        work = self._at_work.pop((call.origin, call.id), None)
         if answered:
             self.note_life()
-        elif was_out and len(self._unanswered) < 2 * UNANSWERED_MOST:
-            self._unanswered.append(call)
+        elif work is not None and len(self._unanswered) < 2 * UNANSWERED_MOST:
+            self._unanswered.append(work)
 
     def note_life(self):
         """The backend server has answered something: what is over by now did not end it."""
@@ -113,7 +130,7 @@
         return self._last if self._took(call) else None
 
     def _took(self, call):
-        return self._last is not None and (call.origin, call.id) in self._last.calls
+        return self._last is not None and (call.origin, call.id) in self._last.works
 
     async def _ask(self):
         try:
@@ -133,21 +150,21 @@
             self._unanswered.clear()
         self._end()
 
-    def _number(self, call):
-        name = f"{self._standing.instance}@{self._standing.born_ms} {call.origin} {call.id}"
+    def _number(self, work):
+        name = f"{self._standing.instance}@{self._standing.born_ms} {work.origin} {work.number}"
         return wall_microseconds() << CHANCE_BITS | hash_number(name) >> (64 - CHANCE_BITS)
 
     def _end(self):
         # Failure: a server goes silent without breaking a connection, and its
         # calls are given up long before another start of it is listed.  What it
         # was at work on is what was out at its last sign of life.
-        calls = [call for call in self._unanswered if call.deadline > self._alive_at]
-        calls += self._at_work.values()
+        works = [work for work in self._unanswered if work.deadline > self._alive_at]
+        works += self._at_work.values()
         self._unanswered.clear()
         self._at_work.clear()
-        if not calls:
+        if not works:
             return
-        by_number = {(call.origin, call.id): call for call in calls}
-        self._last = ServerEnd(self._number(calls[0]), self._standing.instance, by_number)
+        by_number = {(work.origin, work.number): work for work in works}
+        self._last = ServerEnd(self._number(works[0]), self._standing.instance, by_number)
         for listener in self._listeners:
             listener(self._last)
--- a/caperstack/quarantine/exchange.py
+++ b/caperstack/quarantine/exchange.py
@@ -10,6 +10,10 @@
 __all__ = ["SuspectExchange"]
 
 
+#: Requests that one line names, of those about which something is new.
+LOGGED_MOST = 20
+
+
 class SuspectExchange:
     """Pass on what is new of suspects, and tell a new peer of the grave ones.
 
@@ -28,12 +32,14 @@
         self._suspects = None
         self._sync = None
         self._metrics = None
+        self._events = None
 
     async def start(self, kernel):
         """Follow connections and the suspects."""
         self._suspects = kernel.find("suspects")
         self._sync = kernel.find("settings sync")
         self._metrics = kernel.find("metrics")
+        self._events = kernel.find("events")
         self._suspects.listen(self._on_news)
         kernel.find("links").hook(self)
         kernel.find("peer port").hook(self)
@@ -75,7 +81,15 @@
 
     def _tell(self):
         news, self._news = self._news, {}
-        for host in self._sync.told_of_news():
+        hosts = self._sync.told_of_news()
+        self._events.line(
+            "suspects",
+            asks=[f"{request:016x}" for request in list(news)[:LOGGED_MOST]],
+            requests=len(news),
+            sources=sorted(set(news.values())),
+            told=len(hosts),
+        )
+        for host in hosts:
             # Whoever told it knows it.
             told = [self._suspects.suspicion(r) for r, source in news.items() if source != host]
             items = [suspicion_message(one) for one in told if one is not None]
--- a/caperstack/quarantine/suspects.py
+++ b/caperstack/quarantine/suspects.py
@@ -182,7 +182,7 @@
         """A backend server ended while these requests were at work."""
         for fingerprint in fingerprints:
             clearing = self._survived(fingerprint)
-            if fingerprint.request and clearing != Clearing.ALL:
+            if clearing != Clearing.ALL:
                 end = End(number, fingerprint.caller, clearing)
                 self.take(Suspicion(fingerprint.request, (end,)))
 
@@ -230,7 +230,7 @@
         bool
             Whether anything of it is news.
         """
-        if not suspicion.ends:
+        if not suspicion.ends or not suspicion.request:
             return False
         record = self._records.get(suspicion.request)
         held = {} if record is None else record.ends
--- a/caperstack/quarantine/tests/test_crash.py
+++ b/caperstack/quarantine/tests/test_crash.py
@@ -1,6 +1,7 @@
 """What counts as the end of a backend server, and which calls were at work then."""
 
 import asyncio
+import sys
 import unittest
 from types import SimpleNamespace
 
@@ -29,7 +30,7 @@
         return self.listening
 
     def at_work(self):
-        return [sorted(call.id for call in end.calls.values()) for end in self.ends]
+        return [sorted(work.number for work in end.works.values()) for end in self.ends]
 
     async def test_server_that_refuses_connections_has_ended_with_all_its_work(self):
         # All connections of a server break in one millisecond.  The first loss
@@ -107,3 +108,15 @@
         self.watch.begin(lost)
         await self.watch.lost(lost)
         self.assertEqual(self.at_work(), [[2]])
+
+    async def test_bodies_of_calls_are_not_kept(self):
+        # A megabyte for each of 72 calls would be kept for as long as the server is
+        # silent, beside a node of 20 MB.
+        body = bytes(1 << 20)
+        before = sys.getrefcount(body)
+        large = call(1)
+        large.body = body
+        self.watch.begin(large)
+        self.watch.finish(large, answered=False)
+        del large
+        self.assertEqual(sys.getrefcount(body), before)
--- a/caperstack/routing/dispatch.py
+++ b/caperstack/routing/dispatch.py
@@ -146,6 +146,7 @@
             reason=refusal.reason,
             asks=call.fingerprint.text,
             ends=self._suspects.count(call.fingerprint),
+            for_s=round(refusal.retry_after),
         )
         return refusal if isinstance(best, NotRun) else best
 
