A refused connection is no sign of a silent server's life

Found by reading: what got no connection, or was turned away by another server at the address, moved the last sign of life on, and the call that had silenced the server was excused. Now only answers and probes of the listed instance count. Its test fails without it.

--- a/caperstack/admission/execution.py
+++ b/caperstack/admission/execution.py
@@ -3,6 +3,7 @@
 from caperstack.calls.model import NotRun, Unknown
 from caperstack.clock import now, time_left
 from caperstack.exception import BackendError
+from caperstack.quarantine.crash import Left
 
 __all__ = ["Execution"]
 
@@ -63,14 +64,15 @@
             pace=round(self._pace.value, 2),
         )
         counts = False
-        answered = False
+        left = Left.UNANSWERED
         begun = now()
         self._watch.begin(call)
         try:
             answer = await self._client.fetch(call, self._standing.instance)
-            answered = True
             if isinstance(answer, NotRun):
+                left = Left.NOT_RUN
                 return answer
+            left = Left.ANSWERED
             counts = answer.status < 500 or answer.status == GATEWAY_TIMEOUT
             self._metrics.time("backend_seconds", now() - begun, call.service)
             self._standing.note_answer()
@@ -83,11 +85,11 @@
             # shows no time at all, looks as quick as ever, and draws calls.
             counts = time_left(call.deadline) <= 0
             self._failures.add(True)
-            answered = not error.sent
+            left = Left.UNANSWERED if error.sent else Left.NOT_RUN
             end = await self._watch.lost(call) if error.sent and not counts else None
             return self._failure(call, error, end)
         finally:
-            self._watch.finish(call, answered)
+            self._watch.finish(call, left)
             ratio = self._times.end((call.origin, call.id), counts)
             if ratio and self._gate.note_time(call, ratio):
                 self._events.state("calls at once", "other", self._gate.limit)
--- a/caperstack/platform/tests/test_quarantine.py
+++ b/caperstack/platform/tests/test_quarantine.py
@@ -16,6 +16,9 @@
 NEIGHBOUR = "/list/a?page=8"
 POPULAR = "/list/popular"
 
+#: What an owner says when its server has ended.
+ENDED = "backend server ended"
+
 #: The operators' rule: from so long after its third end, in seconds, a request may
 #: reach backend servers so many times more.
 SETTLED_SECONDS = 3.0
@@ -95,3 +98,25 @@
             while now() < until:
                 await self.fleet.ask(host, FATAL)
         self.assertEqual(len(self.sends(FATAL)) - before, 0)
+
+    async def test_popular_call_is_not_condemned_when_its_servers_die_of_another_cause(self):
+        # A listing that everybody asks for is at work at every server.  Six servers
+        # crash one after the other, then three in the same moment, of something
+        # else.  The listing must be served as soon as servers are there.
+        slots = [host for host in self.fleet.hosts if host.instance.service == "slots"]
+        pressing = asyncio.create_task(self.press(6.0, {POPULAR: 0.02}))
+        for number in range(6):
+            await asyncio.sleep(0.6)
+            self.fleet.crash(slots[number % len(slots)])
+        await asyncio.sleep(1.2)
+        for host in slots[:3]:
+            self.fleet.crash(host)
+        await pressing
+        await asyncio.sleep(self.fleet.down_seconds + 1.0)
+        results = await self.press(2.0, {POPULAR: 0.05})
+        self.assertEqual({code for _, _, code in results}, {200})
+        told = [line for host in self.fleet.hosts for line in host.node.lines("suspect")]
+        self.assertEqual([line for line in told if line["new"] == "quarantined"], [])
+        ended = [line for host in self.fleet.hosts for line in host.node.lines(ENDED)]
+        # Enough of them to condemn what never ran whole.
+        self.assertGreaterEqual(len(ended), 3)
--- a/caperstack/quarantine/crash.py
+++ b/caperstack/quarantine/crash.py
@@ -3,13 +3,14 @@
 import asyncio
 from collections import deque
 from dataclasses import dataclass
+from enum import IntEnum
 
 from caperstack.calls.fingerprint import Fingerprint
 from caperstack.calls.model import ServerState
 from caperstack.clock import deadline_after, now, wall_microseconds
 from caperstack.membership.order import hash_number
 
-__all__ = ["CrashWatch", "ServerEnd", "Work"]
+__all__ = ["CrashWatch", "Left", "ServerEnd", "Work"]
 
 #: How long the question waits whether the backend server still listens, in
 #: seconds; on its own host a connection takes 0.2 ms, and so does its refusal.
@@ -26,6 +27,17 @@
 CHANCE_BITS = 12
 
 
+class Left(IntEnum):
+    """What a call has left at the backend server when it is over for its owner."""
+
+    #: Nothing, and the server lives.
+    ANSWERED = 0
+    #: Nothing: it never ran; whoever said so may be another server at the address.
+    NOT_RUN = 1
+    #: It may be at work there still.
+    UNANSWERED = 2
+
+
 @dataclass(frozen=True, slots=True)
 class Work:
     """What is kept of a call that is at work; its body is not, which may be large."""
@@ -98,8 +110,8 @@
         """`call` goes to the backend server."""
         self._at_work[call.origin, call.id] = Work.of(call)
 
-    def finish(self, call, answered):
-        """`call` is over here; without an answer it may be at work there still.
+    def finish(self, call, left):
+        """`call` is over here; `left` tells what it has left at the backend server.
 
         Notes
         -----
@@ -108,9 +120,9 @@
         would bear the blame, and others would.
         """
         work = self._at_work.pop((call.origin, call.id), None)
-        if answered:
+        if left == Left.ANSWERED:
             self.note_life()
-        elif work is not None and len(self._unanswered) < 2 * UNANSWERED_MOST:
+        elif left == Left.UNANSWERED and work and len(self._unanswered) < 2 * UNANSWERED_MOST:
             self._unanswered.append(work)
 
     def note_life(self):
--- a/caperstack/quarantine/tests/test_crash.py
+++ b/caperstack/quarantine/tests/test_crash.py
@@ -7,7 +7,7 @@
 
 from caperstack.calls.model import Call, ServerState
 from caperstack.clock import deadline_after
-from caperstack.quarantine.crash import UNANSWERED_MOST, CrashWatch
+from caperstack.quarantine.crash import UNANSWERED_MOST, CrashWatch, Left
 
 
 def call(number, seconds=5.0):
@@ -53,7 +53,7 @@
         answered, lost = call(1), call(2)
         for one in (answered, lost):
             self.watch.begin(one)
-        self.watch.finish(answered, answered=True)
+        self.watch.finish(answered, Left.ANSWERED)
         await self.watch.lost(lost)
         self.assertEqual(self.at_work(), [[2]])
 
@@ -63,8 +63,8 @@
         cancelled, over, lost = call(1), call(2, seconds=-1.0), call(3)
         for one in (cancelled, over, lost):
             self.watch.begin(one)
-        self.watch.finish(cancelled, answered=False)
-        self.watch.finish(over, answered=False)
+        self.watch.finish(cancelled, Left.UNANSWERED)
+        self.watch.finish(over, Left.UNANSWERED)
         await self.watch.lost(lost)
         self.assertEqual(self.at_work(), [[1, 3]])
 
@@ -89,19 +89,32 @@
         self.watch.note_life()
         self.watch.begin(culprit)
         await asyncio.sleep(0.03)
-        self.watch.finish(culprit, answered=False)
+        self.watch.finish(culprit, Left.UNANSWERED)
         for number in range(2, 3 * UNANSWERED_MOST):
             later = call(number, seconds=0.0)
             self.watch.begin(later)
-            self.watch.finish(later, answered=False)
+            self.watch.finish(later, Left.UNANSWERED)
         self.watch.started_anew()
         self.assertEqual(self.at_work()[0][0], 1)
         self.assertLessEqual(len(self.at_work()[0]), 2 * UNANSWERED_MOST)
 
+    async def test_refused_connection_is_no_sign_of_life(self):
+        # The silent server is asked on: calls that get no connection, or are turned
+        # away by another server at its address, say nothing of it.
+        culprit = call(1, seconds=0.01)
+        self.watch.begin(culprit)
+        await asyncio.sleep(0.02)
+        self.watch.finish(culprit, Left.UNANSWERED)
+        later = call(2)
+        self.watch.begin(later)
+        self.watch.finish(later, Left.NOT_RUN)
+        self.watch.started_anew()
+        self.assertEqual(self.at_work(), [[1]])
+
     async def test_calls_that_were_over_when_the_server_answered_are_not_blamed(self):
         over = call(1, seconds=0.01)
         self.watch.begin(over)
-        self.watch.finish(over, answered=False)
+        self.watch.finish(over, Left.UNANSWERED)
         await asyncio.sleep(0.02)
         self.watch.note_life()
         lost = call(2)
@@ -117,6 +130,6 @@
         large = call(1)
         large.body = body
         self.watch.begin(large)
-        self.watch.finish(large, answered=False)
+        self.watch.finish(large, Left.UNANSWERED)
         del large
         self.assertEqual(sys.getrefcount(body), before)
