A server ends once

Cause: calls that were sent to the address after the end and were under way when the next start was listed counted as at work at another end; a bystander of two ends would have had three to its name. Change: one end for each start of a server, unless it has answered again under its name. The test fails without it.

--- a/caperstack/quarantine/crash.py
+++ b/caperstack/quarantine/crash.py
@@ -100,6 +100,7 @@
         self._alive_at = now()
         self._asking = None
         self._last = None
+        self._ended = False
         self._listeners = []
 
     def listen(self, listener):
@@ -128,6 +129,7 @@
     def note_life(self):
         """The backend server has answered something: what is over by now did not end it."""
         self._alive_at = now()
+        self._ended = False
         while self._unanswered and (
             self._unanswered[0].deadline < self._alive_at or len(self._unanswered) > UNANSWERED_MOST
         ):
@@ -161,6 +163,7 @@
         if self._leaves:
             self._unanswered.clear()
         self._end()
+        self._ended = False
 
     def _number(self, work):
         name = f"{self._standing.instance}@{self._standing.born_ms} {work.origin} {work.number}"
@@ -174,8 +177,12 @@
         works += self._at_work.values()
         self._unanswered.clear()
         self._at_work.clear()
-        if not works:
+        if not works or self._ended:
+            # Failure: calls that were sent to the address after the end, and met
+            # the next start before the list names it, make a second end of one;
+            # what was at work at two ends would have three to its name.
             return
+        self._ended = True
         by_number = {(work.origin, work.number): work for work in works}
         self._last = ServerEnd(self._number(works[0]), self._standing.instance, by_number)
         for listener in self._listeners:
--- a/caperstack/quarantine/tests/test_crash.py
+++ b/caperstack/quarantine/tests/test_crash.py
@@ -122,6 +122,29 @@
         await self.watch.lost(lost)
         self.assertEqual(self.at_work(), [[2]])
 
+    async def test_server_ends_once(self):
+        # A server has ended; calls that still go to its address are under way when
+        # the next start is listed there, or are lost there.
+        first, second = call(1), call(2)
+        self.watch.begin(first)
+        await self.watch.lost(first)
+        self.watch.begin(second)
+        self.assertIsNone(await self.watch.lost(second))
+        self.watch.started_anew()
+        self.assertEqual(self.at_work(), [[1]])
+        third = call(3)
+        self.watch.begin(third)
+        await self.watch.lost(third)
+        self.assertEqual(self.at_work(), [[1], [3]])
+
+    async def test_server_that_answers_again_may_end_again(self):
+        for number in (1, 2):
+            lost = call(number)
+            self.watch.begin(lost)
+            await self.watch.lost(lost)
+            self.watch.note_life()
+        self.assertEqual(self.at_work(), [[1], [2]])
+
     async def test_bodies_of_calls_are_not_kept(self):
         # A megabyte for each of 72 calls would be kept for as long as the server is
         # silent, beside a node of 20 MB.
