The choice of a server is a module of its own

dispatch.py had grown to 402 lines with two jobs: trying, and choosing whom to try. The choice (subset, who is free, who is sound, the one that stands first for a request) is caperstack.routing.candidates now; no decision changes. Two tests reach the subset and the chance there. 71 tests of routing, growth and the paths pass.

--- a/caperstack/platform/tests/test_growth.py
+++ b/caperstack/platform/tests/test_growth.py
@@ -108,12 +108,12 @@
             await asyncio.sleep(0)
             await asyncio.sleep(0)
             for name in SERVICES:
-                dispatcher._subset(name)
+                dispatcher.candidates.subset(name)
             node.sync._touch_parents()
         finally:
             sys.setprofile(None)
         self.assertTrue(node.members.find(host).leaving)
-        self.assertLessEqual(len(dispatcher._subset(service)), SUBSET)
+        self.assertLessEqual(len(dispatcher.candidates.subset(service)), SUBSET)
         return steps["call"] + steps["c_call"]
 
     async def test_it_does_not_grow_with_the_fleet(self):
--- a/caperstack/routing/dispatch.py
+++ b/caperstack/routing/dispatch.py
@@ -4,30 +4,19 @@
 import copy
 import random
 
-from caperstack.calls.model import Answered, NotRun, ServerState, Unknown, call_ids
+from caperstack.calls.model import Answered, NotRun, Unknown, call_ids
 from caperstack.clock import deadline_after, now, time_left
 from caperstack.exception import PeerError
-from caperstack.membership.order import hash_number
-from caperstack.membership.subset import Subset
 from caperstack.quarantine.suspects import Verdict
 from caperstack.routing.budgets import CallBudget, share_at_depth
-from caperstack.routing.policies import Context, choose
+from caperstack.routing.candidates import PATIENCE, Candidates
 from caperstack.routing.service import FIRST_USUAL_SECONDS, Attempts, ServiceState
 
 __all__ = ["Dispatcher"]
 
-#: How long an owner may hold a call before it is better moved on, in usual
-#: service times; the last try may wait until its deadline.  At a whole usual
-#: time a booking waited 394 ms at an owner, was moved, waited 383 ms more at the
-#: same one as its last try and was refused (from the log of a heavy day).
-PATIENCE = 0.25
-
 #: Answers that an idempotent call may try to better at another server.
 REPEATABLE_STATUSES = frozenset((500, 502, 503, 504))
 
-#: At most this share of a service's members is ejected at once.
-EJECTED_MOST = 0.5
-
 
 class Dispatcher:
     """Choose owners for calls, and retry or hedge where nothing can run twice.
@@ -39,12 +28,10 @@
     """
 
     def __init__(self, here, rng=None, allowance=None):
-        self._here = here
         self._allowance = allowance
-        self._rng = rng or random.Random()
         self._numbers = call_ids()
         self._services = {}
-        self._subsets = {}
+        self.candidates = Candidates(here, rng or random.Random())
 
     async def start(self, kernel):
         """Find the services that this one needs."""
@@ -53,7 +40,7 @@
         self._metrics = kernel.find("metrics")
         self._events = kernel.find("events")
         self._suspects = kernel.find("suspects")
-        self._members.listen(self._on_member)
+        self.candidates.start(self._members, self._metrics)
 
     def usual_seconds(self, service):
         """Return the usual time of a call of `service`, in seconds."""
@@ -114,10 +101,10 @@
             if verdict == Verdict.ALONE:
                 return await self._try_alone(call, state, attempts, best)
             asks = refusals < settings.refusals_per_call
-            member = self._choose(call, state, self._free(call, state, tried)) if asks else None
+            member = self.candidates.free_one(call, state, tried) if asks else None
             last = member is None
             if last and queues:
-                member = self._choose(call, state, self._accepting(call))
+                member = self.candidates.any_one(call, state)
             if member is None:
                 return best
             if not attempts.take():
@@ -160,11 +147,9 @@
         it to the server that stands first for this request in an order that
         every entry computes alike, whose owner runs one suspect at a time.
         """
-        members = self._sound(self._usable(self._members.of_service(call.service)))
-        if not members or not attempts.take():
+        member = self.candidates.first_for(call)
+        if member is None or not attempts.take():
             return best
-        name = call.fingerprint.text
-        member = max(members, key=lambda m: hash_number(f"{name} {m.host}"))
         outcome = await self._attempt(call, member, state, True)
         return min(outcome, best, key=_preference)
 
@@ -239,79 +224,6 @@
             self._events.state("ejection", "in use", "ejected", member.host)
             self._metrics.count("ejections", peer=member.host)
 
-    # -- choice -----------------------------------------------------------
-
-    def _accepting(self, call):
-        """Return the members of this entry's subset that may get new work."""
-        members = self._usable(self._subset(call.service))
-        if not members:
-            # The whole subset is leaving or gone: any member will do.
-            members = self._usable(self._members.of_service(call.service))
-        for member in members:
-            member.owner.freshen(member.estimate)
-        return members
-
-    def _on_member(self, member, gone):
-        subset = self._subsets.get(member.service)
-        if subset is None:
-            subset = self._subsets[member.service] = Subset(self._here)
-        if gone:
-            subset.remove(member)
-        else:
-            subset.add(member)
-
-    def _subset(self, service):
-        subset = self._subsets.get(service)
-        return [] if subset is None else subset.members
-
-    def _usable(self, members):
-        return [m for m in members if not m.leaving]
-
-    def _free(self, call, state, tried):
-        """Return the untried members that may run a call about now.
-
-        Notes
-        -----
-        Failure: when all servers are busy, each call asks one after the other
-        and is refused by all; the asking takes the nodes' processors, and what
-        was a full queue becomes an outage that outlasts its cause.  A refusal
-        brings the owner's exact load, so the next call knows and does not ask.
-        """
-        members = self._accepting(call)
-        usual = _usual_service_seconds(members, state)
-        return [
-            member
-            for member in members
-            if member not in tried
-            and not member.estimate.slowed
-            and member.estimate.expected_wait(usual) <= PATIENCE * usual
-        ]
-
-    def _choose(self, call, state, members):
-        if not members:
-            return None
-        usual = _usual_service_seconds(members, state)
-        context = Context(self._here.zone, self._here.region, usual, self._rng)
-        return choose(state.policy, self._sound(members), context)
-
-    def _sound(self, members):
-        """Return the members fit for work, or all if too many seem unfit.
-
-        Notes
-        -----
-        When most servers seem dead at once, the fault is likely on this side:
-        a partition, or a pause of this process.  Ejecting them all would turn
-        it into an outage, so beyond a bound nobody is ejected.
-        """
-        usable = [m for m in members if m.owner.usable and m.estimate.state != ServerState.DOWN]
-        if not usable:
-            usable = members
-        healthy = [m for m in usable if not m.estimate.ejected]
-        if len(usable) - len(healthy) > len(usable) * EJECTED_MOST:
-            self._metrics.count("self_doubts")
-            return usable
-        return healthy or usable
-
     # -- hedging ----------------------------------------------------------
 
     async def _dispatch_hedged(self, call, state, settings):
@@ -340,7 +252,7 @@
             return False
         if time_left(call.deadline) <= state.route_seconds(call.route) or not attempts.left:
             return False
-        return bool(self._free(call, state, tried)) and state.hedges.withdraw()
+        return bool(self.candidates.free(call, state, tried)) and state.hedges.withdraw()
 
     async def _race(self, call, state, settings, bounds, first):
         self._metrics.count("hedges", service=call.service)
@@ -363,20 +275,6 @@
                 task.cancel()
 
 
-def _usual_service_seconds(members, state):
-    """Return the service time that most of `members` have, in seconds.
-
-    Notes
-    -----
-    Failure: the entry's own times of calls include their waiting.  In a
-    slowdown they grew until the slow server no longer stood out, and calls
-    went on to it.  The median of what the owners tell is that of a healthy
-    server while fewer than half are slow.
-    """
-    told = sorted(m.estimate.told_seconds for m in members if m.estimate.told_seconds is not None)
-    return told[(len(told) - 1) // 2] if told else state.usual_seconds
-
-
 def _final(outcome):
     """Return whether `outcome` is an answer that no other server would better."""
     return isinstance(outcome, Answered) and outcome.status not in REPEATABLE_STATUSES
--- a/caperstack/routing/tests/test_dispatch.py
+++ b/caperstack/routing/tests/test_dispatch.py
@@ -277,7 +277,7 @@
         for seed in range(8):
             owners = [FakeOwner(GOOD) for _ in range(4)]
             world = self.world(*owners, ends=2)
-            world.dispatcher._rng.seed(seed)
+            world.dispatcher.candidates._rng.seed(seed)
             self.send(world)
             used.update(n for n, owner in enumerate(owners) if owner.calls)
         self.assertEqual(len(used), 1)
