--- a/caperstack/quarantine/suspects.py
+++ b/caperstack/quarantine/suspects.py
@@ -86,8 +86,10 @@
 
 @dataclass(slots=True)
 class _Record:
+    """What is kept of one request; ``told`` is the verdict that was logged last."""
+
     ends: dict = field(default_factory=dict)
-    barred_until: float = 0.0
+    quarantined_until: float = 0.0
     forget_at: float = 0.0
     told: int = Verdict.FREE
 
@@ -165,7 +167,7 @@
             del self._records[fingerprint.request]
             return Verdict.FREE
         count = record.count(fingerprint.caller)
-        if count >= QUARANTINED_FROM and now() < record.barred_until:
+        if count >= QUARANTINED_FROM and now() < record.quarantined_until:
             return Verdict.QUARANTINED
         return Verdict.ALONE if count >= ALONE_FROM else Verdict.FREE
 
@@ -173,7 +175,7 @@
         """Return the `NotRun` for a call that must not be sent, or ``None``."""
         if self.verdict(call.fingerprint) != Verdict.QUARANTINED:
             return None
-        wait = time_left(self._records[call.fingerprint.request].barred_until)
+        wait = time_left(self._records[call.fingerprint.request].quarantined_until)
         return NotRun("request is quarantined: servers ended of it", wait)
 
     # -- what is learnt ---------------------------------------------------
@@ -252,7 +254,7 @@
         count = record.worst
         if further and count >= QUARANTINED_FROM:
             seconds = QUARANTINE_SECONDS * 2 ** (count - QUARANTINED_FROM)
-            record.barred_until = deadline_after(min(QUARANTINE_SECONDS_MOST, seconds))
+            record.quarantined_until = deadline_after(min(QUARANTINE_SECONDS_MOST, seconds))
         told, record.told = record.told, _verdict_at(count)
         if record.told != told:
             self._events.line(
@@ -263,7 +265,7 @@
                 ends=[f"{number:016x}" for number in record.ends],
                 count=count,
                 source=source,
-                for_s=round(max(0.0, time_left(record.barred_until))),
+                for_s=round(max(0.0, time_left(record.quarantined_until))),
             )
 
     def _make_room(self):
@@ -280,7 +282,7 @@
         return None if record is None else Suspicion(request, tuple(record.ends.values()))
 
     def grave(self):
-        """Return the suspicions that a node must know before it sends anything."""
+        """Return the suspicions of two ends or more, which a node must know before it sends."""
         records = self._records.items()
         return [self.suspicion(r) for r, record in records if record.worst >= ALONE_FROM]
 
