Readings of the store tell its position, and configurations that are passed over are logged

And no line said at which revision of the store a reading was made.

Change: the era that the store names in its answers (Store-Era, 0 where it names none) and its revision are told with the first reading, and whenever the revision goes back or the era changes; a configuration that is offered at a lower revision than the one in force is told once. What is taken is as before. ReaderCase moves to a file of its own, unchanged but for the reader's client, which has an address now.

--- a/caperstack/platform/names.py
+++ b/caperstack/platform/names.py
@@ -11,6 +11,7 @@
     "READY_PATH",
     "SEAL",
     "SERVERS_PREFIX",
+    "STORE_ERA",
 ]
 
 #: The environment variable with the path of the start settings.
@@ -29,6 +30,9 @@
 #: Where the platform asks whether this node takes requests.
 READY_PATH = "/v1/ready"
 
+#: The header of the store's answers that counts how often it came back from an older copy.
+STORE_ERA = "Store-Era"
+
 #: The header by which the platform recognises a backend server's own answer.
 #: The node passes it on like any other; only stand-ins set it.
 SEAL = "X-Server-Seal"
--- a/caperstack/platform/reader.py
+++ b/caperstack/platform/reader.py
@@ -74,6 +74,9 @@
         self._behind_until = 0.0
         self._returning_until = 0.0
         self._foreign = set()
+        self._store_era = 0
+        self._store_revision = 0
+        self._passed_over = None
         self._task = None
 
     @property
@@ -177,12 +180,25 @@
         if not stale:
             # Before what is missing is judged: it may be missing because of the gap.
             self._note_gap(began)
+            self._note_position(reads[0])
         self.take_operator(reads[0])
         self._operator_revision = reads[0].revision
         self._take_servers(reads[-1])
         size = sum(len(item.value or b"") for read in reads for item in read.items)
         self._all_at_once = size <= ALL_AT_ONCE_BYTES
 
+    def _note_position(self, read):
+        """Tell the first position of the store, and when it goes back or names another era."""
+        era, revision = self._store_era, self._store_revision
+        self._store_era, self._store_revision = read.era, read.revision
+        if revision and era == read.era and revision <= read.revision:
+            return
+        if revision:
+            self._metrics.count("store_went_back")
+        old = f"era {era}, revision {revision}" if revision else "unknown"
+        new = f"era {read.era}, revision {read.revision}"
+        self._events.state("store position", old, new, self._client.address)
+
     def take_operator(self, read):
         """Take what operators have written, from a `StoreRead` that holds all of it."""
         for item in read.items:
@@ -196,11 +212,23 @@
             # What the mark holds says nothing: its key names the zone.
             document = None if item.deleted else {}
             self._settings.take(item.key, item.revision, document, "store")
-        elif item.key == CONFIGURATION_KEY and self._settings.wants(item.key, item.revision):
+        elif item.key == CONFIGURATION_KEY and not self._settings.wants(item.key, item.revision):
+            self._note_passed_over(item)
+        elif item.key == CONFIGURATION_KEY:
             document = None if item.deleted else self._decoded(item)
             if document is not None:
                 self._settings.take(item.key, item.revision, document, "store")
 
+    def _note_passed_over(self, item):
+        """Tell, once for each, which older configurations the store offers."""
+        held = self._settings.get(item.key)
+        if item.revision >= held.revision or item.revision == self._passed_over:
+            return
+        self._passed_over = item.revision
+        self._events.belief(
+            "passed over", key=item.key, revision=item.revision, held_revision=held.revision
+        )
+
     def _withdraw(self, prefix, present, revision):
         """Take all that is held under `prefix` and was not `present` at `revision` for deleted."""
         for held in self._settings.held():
--- a/caperstack/platform/store.py
+++ b/caperstack/platform/store.py
@@ -11,6 +11,7 @@
 
 from caperstack.clock import time_left
 from caperstack.exception import HistoryError, PlatformError
+from caperstack.platform.names import STORE_ERA
 
 __all__ = ["StoreChanges", "StoreClient", "StoreItem", "StoreRead"]
 
@@ -87,10 +88,13 @@
         The items, by key.
     revision : int
         The store's revision at the first page: what is missing was gone then.
+    era : int
+        How often the store had come back from an older copy then.
     """
 
     items: list
     revision: int
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,14 +154,14 @@
             If the store refuses, is silent or sends something else.
         """
         items = []
-        revision = None
+        first = None
         after = None
         for _ in range(PAGES_MOST):
-            page = await self._page(prefix, after, stale)
-            revision = page.revision if revision is None else revision
+            page, era = await self._page(prefix, after, stale)
+            first = first or (page.revision, era)
             items += [_store_item(item) for item in page.items]
             if not page.more or not page.items:
-                return StoreRead(items, revision)
+                return StoreRead(items, *first)
             after = page.items[-1].key
         raise PlatformError("no end of pages", step="read", peer=self._address)
 
@@ -182,9 +186,9 @@
         """
         wait = max(0.0, time_left(wait_until))
         query = urlencode({"prefix": prefix, "after": after, "waitMs": int(wait * 1000)})
-        body = await self._get(f"/v1/kv-watch?{query}", wait + LATE_SECONDS)
+        response = await self._get(f"/v1/kv-watch?{query}", wait + LATE_SECONDS)
         try:
-            page = msgspec.json.decode(body, type=_Events)
+            page = msgspec.json.decode(response.body, type=_Events)
         except msgspec.MsgspecError as error:
             raise PlatformError(str(error), step="watch", peer=self._address) from None
         return StoreChanges([_store_item(event) for event in page.events], page.revision)
@@ -195,9 +199,9 @@
             query["after"] = after
         if stale:
             query["staleOk"] = "1"
-        body = await self._get(f"/v1/kv-range?{urlencode(query)}")
+        response = await self._get(f"/v1/kv-range?{urlencode(query)}")
         try:
-            return msgspec.json.decode(body, type=_Page)
+            return msgspec.json.decode(response.body, type=_Page), _era(response)
         except msgspec.MsgspecError as error:
             raise PlatformError(str(error), step="page", peer=self._address) from None
 
@@ -221,7 +225,13 @@
             raise PlatformError(reason, step="read", peer=self._address) from None
         except OSError as error:
             raise PlatformError(str(error), step="read", peer=self._address) from None
-        return response.body
+        return response
+
+
+def _era(response):
+    """Return the era that an answer names; 0 where the store names none."""
+    text = response.headers.get(STORE_ERA, "0")
+    return int(text) if text.isascii() and text.isdigit() else 0
 
 
 def _note_failure(request):
--- /dev/null
+++ b/caperstack/platform/tests/readercase.py
@@ -0,0 +1,48 @@
+"""A reader of the store that is handed readings, for tests without a network."""
+
+import unittest
+from unittest import mock
+
+from caperstack.platform.items import StoreCodec
+from caperstack.platform.reader import StoreReader
+from caperstack.platform.standin.fleet import PlatformFleet
+from caperstack.platform.store import StoreItem, StoreRead
+from caperstack.settings.store import SettingsStore
+
+__all__ = ["FLEET", "ReaderCase"]
+
+#: The hosts whose entries are read; no process runs there.
+FLEET = PlatformFleet(["slots", "slots", "rates"], [])
+
+
+class ReaderCase(unittest.TestCase):
+    """A `StoreReader` that is handed readings, and the settings that it fills."""
+
+    def setUp(self):
+        self.begin()
+
+    def begin(self):
+        self.events = mock.Mock()
+        self.settings = SettingsStore(StoreCodec())
+        self.settings._events = self.events
+        self.settings._metrics = mock.Mock()
+        self.reader = StoreReader(FLEET.hosts[0].boot, mock.Mock(address="store"))
+        self.reader._settings = self.settings
+        self.reader._events = self.events
+        self.reader._metrics = mock.Mock()
+        self.revision = 10
+
+    def read(self, values):
+        """Take a reading of `values`, bytes by key, each written since the last one."""
+        self.revision += 10
+        items = [StoreItem(key, value, self.revision, 1) for key, value in values.items()]
+        self.reader._take_servers(StoreRead(items, self.revision))
+
+    def entry(self, key):
+        """Return the `ServerEntry` held under that key, or ``None``."""
+        held = self.settings.get(key)
+        return None if held is None else held.parsed
+
+    def foreign_lines(self):
+        lines = [c for c in self.events.belief.call_args_list if c.args[0] == "foreign entry"]
+        return [(line.kwargs["key"], line.kwargs["reason"]) for line in lines]
--- a/caperstack/platform/tests/test_entries.py
+++ b/caperstack/platform/tests/test_entries.py
@@ -3,7 +3,6 @@
 import copy
 import json
 import unittest
-from unittest import mock
 
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
@@ -12,12 +11,9 @@
 from caperstack.exception import ConfigurationError
 from caperstack.platform.entries import ServerEntry, decode_entry
 from caperstack.platform.items import StoreCodec
-from caperstack.platform.reader import StoreReader
-from caperstack.platform.standin.fleet import PlatformFleet
 from caperstack.platform.store import StoreItem, StoreRead
-from caperstack.settings.store import SettingsStore
+from caperstack.platform.tests.readercase import FLEET, ReaderCase
 
-FLEET = PlatformFleet(["slots", "slots", "rates"], [])
 BORN = 1_790_000_000_000
 
 
@@ -32,39 +28,6 @@
     return StoreCodec().parse(key, decode_entry(key, json.dumps(document).encode(), 7))
 
 
-class ReaderCase(unittest.TestCase):
-    """A `StoreReader` that is handed readings, and the settings that it fills."""
-
-    def setUp(self):
-        self.begin()
-
-    def begin(self):
-        self.events = mock.Mock()
-        self.settings = SettingsStore(StoreCodec())
-        self.settings._events = self.events
-        self.settings._metrics = mock.Mock()
-        self.reader = StoreReader(FLEET.hosts[0].boot, None)
-        self.reader._settings = self.settings
-        self.reader._events = self.events
-        self.reader._metrics = mock.Mock()
-        self.revision = 10
-
-    def read(self, values):
-        """Take a reading of `values`, bytes by key, each written since the last one."""
-        self.revision += 10
-        items = [StoreItem(key, value, self.revision, 1) for key, value in values.items()]
-        self.reader._take_servers(StoreRead(items, self.revision))
-
-    def entry(self, key):
-        """Return the `ServerEntry` held under that key, or ``None``."""
-        held = self.settings.get(key)
-        return None if held is None else held.parsed
-
-    def foreign_lines(self):
-        lines = [c for c in self.events.belief.call_args_list if c.args[0] == "foreign entry"]
-        return [(line.kwargs["key"], line.kwargs["reason"]) for line in lines]
-
-
 def good_values():
     """Return three good entries as the store holds them, by key."""
     return {f"servers/i-{n}": json.dumps(registered(n)).encode() for n in range(3)}
