--- a/caperstack/platform/standin/fleet.py
+++ b/caperstack/platform/standin/fleet.py
@@ -229,6 +229,10 @@
     def configure(self):
         """Publish the present routes as the next version."""
         self._version += 1
+        self.configure_again()
+
+    def configure_again(self):
+        """Write the present version again, as operators do when the store has lost it."""
         document = configuration(
             self._version, self.routes, self.services, cold_per_second=self.cold_per_second
         )
@@ -271,6 +275,15 @@
         await asyncio.sleep(self.unlisted_seconds)
         self.register(host)
 
+    async def restore_store(self, copy, away_seconds=1.0):
+        """The store is away for a moment and comes back from `copy`."""
+        for troubles in self.store.troubles.values():
+            troubles.cut = True
+        await asyncio.sleep(away_seconds)
+        self.store.come_back_from(copy)
+        for troubles in self.store.troubles.values():
+            troubles.cut = False
+
     def write_boot(self, host):
         """Write the start settings of `host`, as the platform does when they change."""
         host.node.boot_path.write_text(json.dumps(host.boot), encoding="utf-8")
--- a/caperstack/platform/standin/modelstore.py
+++ b/caperstack/platform/standin/modelstore.py
@@ -6,6 +6,8 @@
 import msgspec
 
 from caperstack.clock import time_left
+from caperstack.exception import HistoryError, PlatformError
+from caperstack.platform.standin.store import StoreCopy
 from caperstack.platform.store import StoreChanges, StoreItem, StoreRead
 
 __all__ = ["ModelStore"]
@@ -22,12 +24,15 @@
     ----------
     calls : int
         Calls so far, a page each.
+    era : int
+        How often the store came back from a copy.
     """
 
     def __init__(self):
         self._items = {}
         self._changed = asyncio.Event()
         self.revision = 0
+        self.era = 0
         self.calls = 0
 
     def put(self, key, document):
@@ -36,9 +41,23 @@
         created = self._items[key].created if key in self._items else self.revision
         value = msgspec.json.encode(document)
         self._items[key] = StoreItem(key, value, self.revision, created)
+        self._wake_watches()
+
+    def _wake_watches(self):
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def copy(self):
+        """Return a copy of what the store holds now."""
+        return StoreCopy(dict(self._items), self.revision)
+
+    def come_back_from(self, copy):
+        """Lose all that was written after `copy`; its revisions are given out again."""
+        self.era += 1
+        self._items = dict(copy.items)
+        self.revision = copy.revision
+        self._wake_watches()
+
     def client(self):
         """Return what a node reads with."""
         return _Client(self)
@@ -71,13 +90,18 @@
         pages = max(1, -(-len(items) // PAGE_ITEMS))
         self._store.calls += pages
         await asyncio.sleep(CALL_SECONDS * pages)
-        return StoreRead(items, self._store.revision)
+        return StoreRead(items, self._store.revision, self._store.era)
 
     async def watch(self, prefix, after, wait_until):
         """Return the `StoreChanges` under a prefix, deletions left out."""
         self._store.calls += 1
         await asyncio.sleep(CALL_SECONDS)
+        era = self._store.era
         while True:
+            if era != self._store.era:
+                raise PlatformError("connection reset", step="watch", peer=self.address)
+            if after > self._store.revision:
+                raise HistoryError("no such revision", step="watch", peer=self.address)
             items = [i for i in self._store.items(prefix) if i.revision > after]
             if items or time_left(wait_until) <= 0:
                 return StoreChanges(items, self._store.revision)
--- a/caperstack/platform/standin/store.py
+++ b/caperstack/platform/standin/store.py
@@ -4,13 +4,15 @@
 import base64
 import contextlib
 import json
+from dataclasses import dataclass
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, ResponseStartLine
 
 from caperstack.clock import deadline_after, now
+from caperstack.platform.names import STORE_ERA
 
-__all__ = ["StandinStore", "StoreTroubles"]
+__all__ = ["StandinStore", "StoreCopy", "StoreTroubles"]
 
 WATCH_PATH = "/v1/kv-watch"
 
@@ -39,6 +41,14 @@
         self.delay_seconds = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """What the store held at a revision, from which it may come back."""
+
+    items: dict
+    revision: int
+
+
 class StandinStore:
     """One set of items, served at several addresses, so that some readers can be refused.
 
@@ -52,6 +62,8 @@
         Calls that wait for a change now.
     troubles : dict of str to StoreTroubles
         By address.
+    era : int
+        How often the store came back from a copy.
     """
 
     def __init__(self, addresses, page_items=PAGE_ITEMS):
@@ -60,6 +72,7 @@
         self._items = {}
         self._revision = 0
         self._tasks = set()
+        self.era = 0
         self.calls = 0
         self.served = 0
         self.troubles = {address: StoreTroubles() for address in addresses}
@@ -108,8 +121,23 @@
         self._items.pop(key, None)
         self._note({"key": key, "revision": self._revision, "deleted": True})
 
+    def copy(self):
+        """Return a copy of what the store holds now."""
+        return StoreCopy(dict(self._items), self._revision)
+
+    def come_back_from(self, copy):
+        """Lose all that was written after `copy`; its revisions are given out again."""
+        self.era += 1
+        self._items = dict(copy.items)
+        self._revision = copy.revision
+        self._changes = [c for c in self._changes if c["revision"] <= copy.revision]
+        self._wake_watches()
+
     def _note(self, change):
         self._changes.append(change)
+        self._wake_watches()
+
+    def _wake_watches(self):
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -117,8 +145,7 @@
         """Forget all changes so far: watches are cut, and older ones can't go on."""
         self.history_since = self._revision
         self._changes.clear()
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._wake_watches()
 
     def _handler(self, address):
         def handle(request):
@@ -145,8 +172,11 @@
                 self.watching -= 1
         elif not status:
             status, document = self._read(request)
+        if document is None:
+            request.connection.stream.close()
+            return
         body = json.dumps(document).encode()
-        headers = HTTPHeaders({"Content-Length": str(len(body))})
+        headers = HTTPHeaders({"Content-Length": str(len(body)), STORE_ERA: str(self.era)})
         request.connection.write_headers(ResponseStartLine("", status, ""), headers, body)
         request.connection.finish()
 
@@ -168,8 +198,12 @@
         prefix = _argument(request, "prefix")
         after = int(_argument(request, "after"))
         limit = deadline_after(int(_argument(request, "waitMs")) / 1000)
+        era = self.era
         while True:
-            if after < self.history_since:
+            if era != self.era:
+                # The connections of the store that was lost are lost with it.
+                return 0, None
+            if after < self.history_since or after > self._revision:
                 return 410, {"error": "history is gone"}
             changes = [c for c in self._changes if c["key"].startswith(prefix)]
             events = [change for change in changes if change["revision"] > after]
--- a/caperstack/platform/tests/test_restore.py
+++ b/caperstack/platform/tests/test_restore.py
@@ -2,12 +2,24 @@
 
 import asyncio
 import json
+import random
+import unittest
 from unittest import mock
 
+from caperstack.clock import now
 from caperstack.platform.names import CONFIGURATION_KEY
-from caperstack.platform.standin.fleet import configuration
+from caperstack.platform.standin.fleet import configuration, route_row
+from caperstack.platform.standin.growth import SERVICES, GrowthFleet
 from caperstack.platform.store import StoreItem, StoreRead
+from caperstack.platform.tests.fleetcase import FleetCase
 from caperstack.platform.tests.readercase import ReaderCase
+from caperstack.play.virtual import run_virtual
+
+#: How soon after its acknowledgement a configuration is in force, in seconds.
+IN_FORCE_SECONDS = 2.0
+
+#: What real processes on a busy machine may take beside that, in seconds.
+SLACK_SECONDS = 1.0
 
 
 def configured(version, revision):
@@ -49,3 +61,102 @@
         calls = self.events.belief.call_args_list
         told = [c.kwargs["revision"] for c in calls if c.args[0] == "passed over"]
         self.assertEqual(told, [16, 17])
+
+
+class TestConfiguration(FleetCase):
+    """Configurations that operators write before and after the store came back."""
+
+    def serves(self, host, path):
+        async def condition():
+            return (await self.fleet.ask(host, path))[1].code == 200
+
+        return condition
+
+    async def add_route(self, path):
+        """Publish a further route and wait until every node serves it in time."""
+        self.fleet.routes.append(route_row(path, "rates"))
+        self.fleet.configure()
+        limit = now() + IN_FORCE_SECONDS + SLACK_SECONDS
+        for host in self.fleet.hosts:
+            await self.fleet.until(self.serves(host, path), f"{path} at {host.ip}", limit - now())
+
+    async def test_change_after_the_restore_is_in_force_in_time(self):
+        """Revisions are given out again, and nodes pass over the next configurations."""
+        copy = self.fleet.store.copy()
+        await self.add_route("/one/")
+        await self.add_route("/two/")
+        await self.fleet.restore_store(copy)
+        self.fleet.configure_again()
+        await asyncio.sleep(1.0)
+        await self.add_route("/three/")
+        await self.add_route("/four/")
+
+    async def test_change_that_was_lost_stays_in_force(self):
+        """The copy holds an older configuration, and nodes step back to it."""
+        copy = self.fleet.store.copy()
+        await self.add_route("/one/")
+        await self.fleet.restore_store(copy)
+        until = now() + 3.0
+        while now() < until:
+            for host in self.fleet.hosts:
+                self.assertEqual((await self.fleet.ask(host, "/one/"))[1].code, 200)
+            await asyncio.sleep(0.1)
+
+    async def test_node_that_starts_beside_the_copy_learns_what_was_lost(self):
+        """A node starts, reads the copy, and serves an older configuration than its peers."""
+        copy = self.fleet.store.copy()
+        await self.add_route("/one/")
+        await self.fleet.restore_store(copy)
+        self.third.node.kill()
+        self.fleet.start_node(self.third)
+        await self.fleet.until_ready(self.third)
+        for _ in range(10):
+            self.assertEqual((await self.fleet.ask(self.third, "/one/"))[1].code, 200)
+            await asyncio.sleep(0.1)
+
+
+async def _seconds_after_a_restore(size, rests):
+    """Return how long each of several versions takes to be known at all nodes."""
+    random.seed(size)
+    fleet = GrowthFleet(size)
+    await fleet.start()
+    await asyncio.sleep(8.0)
+    copy = fleet.store.copy()
+    for version in (2, 3, 4):
+        fleet.store.put(CONFIGURATION_KEY, configuration(version, [], SERVICES))
+        await asyncio.sleep(1.0)
+    fleet.store.come_back_from(copy)
+    await asyncio.sleep(1.0)
+    fleet.store.put(CONFIGURATION_KEY, configuration(4, [], SERVICES))
+    seconds = []
+    for version, rest in enumerate(rests, 5):
+        await asyncio.sleep(rest)
+        fleet.store.put(CONFIGURATION_KEY, configuration(version, [], SERVICES))
+        seconds.append(await _until_known(fleet, version))
+    await fleet.stop()
+    return seconds
+
+
+async def _until_known(fleet, version):
+    """Return how long it takes until all nodes know a version, ten seconds at most."""
+    begun = now()
+    while now() < begun + 10.0:
+        held = [node.settings.get(CONFIGURATION_KEY) for node in fleet.nodes]
+        if all(one is not None and one.parsed.version == version for one in held):
+            break
+        await asyncio.sleep(0.01)
+    return now() - begun
+
+
+class TestSpread(unittest.TestCase):
+    """How soon nodes know configurations after a restore, in virtual time."""
+
+    def test_versions_at_lower_and_equal_revisions_are_known_in_time(self):
+        """Nodes pass over what lies at revisions that they have seen, at once and later."""
+        for size in (12, 195):
+            seconds = run_virtual(lambda n=size: _seconds_after_a_restore(n, (0.0, 0.0, 6.0)))
+            self.assertLessEqual(max(seconds), IN_FORCE_SECONDS, (size, seconds))
+
+
+if __name__ == "__main__":
+    unittest.main()
