Configurations are ordered by their version, not by the store's revision

Cause: a node takes what lies at a higher revision than it holds. The store had come back from a copy, at a revision below 19; versions 23, 26 and 29 were written at revisions up to 19 and passed over, until version 31 came at 21. Class: an order is taken from a counter that its keeper may set back. Ruled out: slow readers after the outage (all eleven had read 2 s before); an old replica. Why it holds: operators raise the version with each configuration and write the last one again, so the version is the order of what they want, whatever the store forgets; a node never steps back, since a lower version is not taken from the store or a peer, at whatever revision. What is read again unchanged is told by its hash and not decoded. The log's settings= and caperstack-settings tell the version now, and a configuration that is passed over is told with both versions. Peers' protocol version 6: the number of op/config means something else. The line of what is passed over was by revisions; its test asks for versions now, as strictly.

--- a/caperstack/peers/messages.py
+++ b/caperstack/peers/messages.py
@@ -33,7 +33,7 @@
 ]
 
 #: The version of the messages below; a peer that speaks another is turned away.
-VERSION = 5
+VERSION = 6
 
 
 #: More ends of one request than a node keeps are never told of it.
--- a/caperstack/platform/items.py
+++ b/caperstack/platform/items.py
@@ -11,7 +11,7 @@
 from caperstack.platform.names import CONFIGURATION_KEY, EVACUATIONS_PREFIX
 from caperstack.routing.table import EffectiveService, Route, RoutingTable, WeightedService
 
-__all__ = ["Configuration", "StoreCodec"]
+__all__ = ["Configuration", "StoreCodec", "decode_configuration"]
 
 IDEMPOTENT = {"idempotent": True, "non_idempotent": False}
 
@@ -61,8 +61,12 @@
     idle: str = msgspec.field(name="idleTimeout")
 
 
-class _Configuration(msgspec.Struct):
-    version: int
+class _Versioned(msgspec.Struct):
+    # Rises with each configuration that operators write.
+    version: Annotated[int, msgspec.Meta(ge=0)]
+
+
+class _Configuration(_Versioned):
     routes: _Columns
     services: _Columns
     limits: _LimitsRow
@@ -154,11 +158,31 @@
         """Return whether a change of `key` changes the table."""
         return key == CONFIGURATION_KEY or key.startswith(EVACUATIONS_PREFIX)
 
+    def dates_routes(self, key):
+        """Return whether the revision of `key` tells the age of the table: the configuration's."""
+        return key == CONFIGURATION_KEY
+
     def complete(self, parsed):
         """Return whether what is held tells all routes."""
         return CONFIGURATION_KEY in parsed
 
 
+def decode_configuration(key, value):
+    """Return the document in the bytes of a configuration, and the version that orders it.
+
+    Raises
+    ------
+    ConfigurationError
+        Naming the key and the reason, if the bytes hold no version.
+    """
+    try:
+        document = msgspec.json.decode(value)
+        version = msgspec.convert(document, _Versioned).version
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise ConfigurationError(str(error), step=key) from None
+    return document, version
+
+
 def _evacuated_zone(key):
     zone = key.removeprefix(EVACUATIONS_PREFIX)
     if not zone:
--- a/caperstack/platform/reader.py
+++ b/caperstack/platform/reader.py
@@ -3,11 +3,12 @@
 import asyncio
 import random
 
-import msgspec
+from xxhash import xxh3_64_intdigest
 
 from caperstack.clock import deadline_after, now
 from caperstack.exception import ConfigurationError, PlatformError
 from caperstack.platform.entries import decode_entry, without_births
+from caperstack.platform.items import decode_configuration
 from caperstack.platform.names import (
     CONFIGURATION_KEY,
     EVACUATIONS_PREFIX,
@@ -76,7 +77,7 @@
         self._foreign = set()
         self._store_era = 0
         self._store_revision = 0
-        self._passed_over = None
+        self._configuration_seen = None
         self._task = None
 
     @property
@@ -212,22 +213,33 @@
             # What the mark holds says nothing: its key names the zone.
             document = None if item.deleted else {}
             self._settings.take(item.key, item.revision, document, "store")
-        elif item.key == CONFIGURATION_KEY and not self._settings.wants(item.key, item.revision):
-            self._note_passed_over(item)
-        elif item.key == CONFIGURATION_KEY:
-            document = None if item.deleted else self._decoded(item)
-            if document is not None:
-                self._settings.take(item.key, item.revision, document, "store")
-
-    def _note_passed_over(self, item):
-        """Tell, once for each, which older configurations the store offers."""
-        held = self._settings.get(item.key)
-        if item.revision >= held.revision or item.revision == self._passed_over:
+        elif item.key == CONFIGURATION_KEY and not item.deleted:
+            self._take_configuration(item)
+
+    def _take_configuration(self, item):
+        """Take the configuration if its version is higher than the one in force.
+
+        Notes
+        -----
+        Failure: the store loses its last writes, gives their revisions out again, and
+        the next configurations lie at revisions that were seen before.  Operators
+        raise the version with each configuration, whatever the store forgets.
+        """
+        value = item.value or b""
+        seen, self._configuration_seen = self._configuration_seen, xxh3_64_intdigest(value)
+        if seen == self._configuration_seen:
             return
-        self._passed_over = item.revision
-        self._events.belief(
-            "passed over", key=item.key, revision=item.revision, held_revision=held.revision
-        )
+        try:
+            document, version = decode_configuration(item.key, value)
+        except ConfigurationError as error:
+            self._events.state(item.key, "offered", f"refused: {error.message}")
+            return
+        held = self._settings.get(item.key)
+        if held is not None and version < held.revision:
+            self._events.belief(
+                "passed over", key=item.key, version=version, held_version=held.revision
+            )
+        self._settings.take(item.key, version, document, "store")
 
     def _withdraw(self, prefix, present, revision):
         """Take all that is held under `prefix` and was not `present` at `revision` for deleted."""
@@ -236,13 +248,6 @@
             if missing and not held.deleted:
                 self._settings.take(held.path, revision, None, "store")
 
-    def _decoded(self, item):
-        try:
-            return msgspec.json.decode(item.value or b"")
-        except (msgspec.MsgspecError, RecursionError) as error:
-            self._events.state(item.key, "offered", f"refused, not JSON: {error}")
-            return None
-
     def _take_servers(self, read):
         items = {i.key: i for i in read.items if i.key.startswith(SERVERS_PREFIX)}
         entries = {}
--- a/caperstack/platform/standin/growth.py
+++ b/caperstack/platform/standin/growth.py
@@ -315,4 +315,7 @@
     def agreed(self):
         """Return whether all nodes hold the same, and all of the store."""
         digests = {msgspec.json.encode(node.settings.revisions) for node in self.nodes}
-        return len(digests) == 1 and self.nodes[0].settings.age == self.store.revision
+        return len(digests) == 1 and self._newest_held() == self.store.revision
+
+    def _newest_held(self):
+        return max(self.nodes[0].settings.revisions.values())
--- a/caperstack/platform/tests/test_restore.py
+++ b/caperstack/platform/tests/test_restore.py
@@ -56,13 +56,37 @@
 
     def test_configuration_that_is_passed_over_is_told_once(self):
         self.read_at(19, 0, [configured(19, 19)])
-        for revision in (16, 16, 17, 19):
-            self.read_at(revision, 0, [configured(23, revision)])
+        for version in (16, 16, 17, 19):
+            self.read_at(20, 0, [configured(version, 20)])
         calls = self.events.belief.call_args_list
-        told = [c.kwargs["revision"] for c in calls if c.args[0] == "passed over"]
+        told = [c.kwargs["version"] for c in calls if c.args[0] == "passed over"]
         self.assertEqual(told, [16, 17])
 
 
+class TestOrder(ReaderCase):
+    """Which configuration is in force, whatever its revision."""
+
+    def assert_in_force(self, version, *offered):
+        for item in offered:
+            self.reader.take_change(item)
+        self.assertEqual(self.settings.get(CONFIGURATION_KEY).parsed.version, version)
+
+    def test_higher_version_at_a_lower_or_equal_revision(self):
+        """A revision is given out again, and the change that lies at it is passed over."""
+        self.assert_in_force(19, configured(19, 19))
+        self.assert_in_force(23, configured(23, 16))
+        self.assert_in_force(26, configured(26, 16))
+
+    def test_lower_version_at_a_higher_revision(self):
+        """A configuration that was replaced is written again, and nodes step back to it."""
+        self.assert_in_force(19, configured(19, 19), configured(16, 25))
+
+    def test_peer_with_a_higher_version_is_followed(self):
+        self.assert_in_force(19, configured(19, 19))
+        self.settings.take(CONFIGURATION_KEY, 23, configuration(23, [], ["s"]), "peer")
+        self.assert_in_force(23, configured(19, 30))
+
+
 class TestConfiguration(FleetCase):
     """Configurations that operators write before and after the store came back."""
 
--- a/caperstack/settings/compile.py
+++ b/caperstack/settings/compile.py
@@ -23,6 +23,10 @@
         """Return whether a change of subtree `path` changes the table: each does."""
         return True
 
+    def dates_routes(self, path):
+        """Return whether the revision of subtree `path` tells the age of the table: each does."""
+        return True
+
     def complete(self, subtrees):
         """Return whether all routes are known: a tree without subtrees has none."""
         return True
--- a/caperstack/settings/store.py
+++ b/caperstack/settings/store.py
@@ -46,7 +46,7 @@
     ----------
     codec : object
         With ``parse(path, document)``, ``compile(parsed by path)``,
-        ``affects_routes(path)`` and ``complete(parsed by path)``.
+        ``affects_routes(path)``, ``dates_routes(path)`` and ``complete(parsed by path)``.
     initial : dict, optional
         Documents by path that came with the start settings.
     """
@@ -82,7 +82,7 @@
 
     @property
     def age(self):
-        """The highest revision held, for the log."""
+        """The revision of the settings that the routes follow from, for the log."""
         return self._highest
 
     @property
@@ -123,7 +123,7 @@
         path : str
             The subtree, ``""`` for the root.
         revision : int
-            The platform's revision.
+            Where the document stands in the order of all that was written there.
         document : dict or None
             The decoded JSON value; ``None`` for a deletion.
         source : str
@@ -138,7 +138,8 @@
             self._refuse(held, revision, str(error))
             return False
         self._digest.change(path, held.revision, revision)
-        self._highest = max(self._highest, revision)
+        if self._codec.dates_routes(path):
+            self._highest = max(self._highest, revision)
         held.revision = revision
         held.document = document
         held.parsed = parsed
