Entries, marks and the watch stay in order when the store comes back from a copy

What callers would see, after the same drill as in the incident: calls go on to a server whose leaving mark, or whose end, lies at a revision that was seen before; a zone is not evacuated, or not taken back; a watch goes on at a number that was given out again and never hears what was written below it. Cause: as for configurations, the store's revision alone was the order, in readings, the watch, digests, what peers tell, and nodes that start. Unlike configurations these have no version of their own. Change: the store's client puts the era that each answer names above the revision (one number, era first, settings.revisions), so every order over revisions holds across a restore; a watch answered in another era is a lost history, pages of two eras are a failed reading. For 2.5 s after a node has seen a new era nothing is taken for gone because it is missing, and for three heartbeats more no entry lifts a leaving mark of the same start or brings back a server that had gone (platform.restores). Entries that differ by the era of their creation alone are no news. A store that names no era is in era 0, as before.

--- a/caperstack/platform/assemble.py
+++ b/caperstack/platform/assemble.py
@@ -65,7 +65,7 @@
     kernel.register("fleet", fleet)
     kernel.register("evacuation", Evacuation(here))
     store = StoreClient(boot.store_address, metrics)
-    reader = StoreReader(here, store)
+    reader = StoreReader(here, store, boot.heartbeat_seconds)
     kernel.register("store reader", reader)
     kernel.register("operator watch", OperatorWatch(here, store, reader))
     kernel.register("pace probe", PaceProbe(fleet.health_path, lambda: codec.measuring_per_second))
--- a/caperstack/platform/boot.py
+++ b/caperstack/platform/boot.py
@@ -97,6 +97,8 @@
         How long after SIGTERM the process may live.
     cold_bound : ColdBound
         What a cold backend server may get beyond what it tolerates.
+    heartbeat_seconds : float
+        How often a backend server writes its entry in the store.
     """
 
     here: Here
@@ -106,6 +108,7 @@
     allowance: FleetAllowance
     drain_until_seconds: float
     cold_bound: ColdBound
+    heartbeat_seconds: float
 
 
 def boot_path():
@@ -177,6 +180,7 @@
         ),
         drain_until_seconds=_duration(boot.bounds, "grace") - KILL_MARGIN_SECONDS,
         cold_bound=_cold_bound(boot.bounds),
+        heartbeat_seconds=seconds_of(boot.heartbeat, "heartbeat"),
     )
 
 
--- a/caperstack/platform/reader.py
+++ b/caperstack/platform/reader.py
@@ -15,7 +15,9 @@
     OPERATOR_PREFIX,
     SERVERS_PREFIX,
 )
+from caperstack.platform.restores import HEARTBEAT_SECONDS, RETURN_SECONDS, Restores
 from caperstack.settings.neighbours import Topology
+from caperstack.settings.revisions import era_of, in_words, number_of
 
 __all__ = ["StoreReader"]
 
@@ -33,10 +35,6 @@
 RETRY_SECONDS_MOST = 2.5
 STAND_DOWN_SECONDS = 4.0
 
-#: For so long after the store was away, entries that are missing may still come
-#: back: their servers live and have yet to register again.
-RETURN_SECONDS = 2.5
-
 #: A reading that is older than this means that the store was away.
 AWAY_SECONDS = 3.0
 
@@ -62,9 +60,18 @@
     is refused, and all go by what was.  Here the age of the newest reading is
     told with every reading; whoever finds it too old reads, in an order that
     all compute alike.  Nobody is elected, and two readers at once cost a call.
+
+    Parameters
+    ----------
+    here : caperstack.config.here.Here
+        This node.
+    client : caperstack.platform.store.StoreClient
+        What it reads with.
+    heartbeat_seconds : float
+        How often a backend server writes its entry.
     """
 
-    def __init__(self, here, client):
+    def __init__(self, here, client, heartbeat_seconds=HEARTBEAT_SECONDS):
         self._here = here
         self._client = client
         self._read_at = None
@@ -75,8 +82,8 @@
         self._behind_until = 0.0
         self._returning_until = 0.0
         self._foreign = set()
-        self._store_era = 0
         self._store_revision = 0
+        self._restores = Restores(heartbeat_seconds)
         self._configuration_seen = None
         self._task = None
 
@@ -94,6 +101,7 @@
         self._metrics = kernel.find("metrics")
         self._topology = Topology(self._here, kernel.find("members"))
         self._sync.on_read(self._take_told)
+        self._settings.listen(lambda held: self._restores.note(held.revision))
         self._metrics.gauge("store_read_age_seconds", "age of the newest reading", self._age)
         self._task = asyncio.create_task(self._read_for_ever())
 
@@ -190,20 +198,21 @@
 
     def _note_position(self, read):
         """Tell the first position of the store, and when it goes back or names another era."""
-        era, revision = self._store_era, self._store_revision
-        self._store_era, self._store_revision = read.era, read.revision
-        if revision and era == read.era and revision <= read.revision:
+        former, self._store_revision = self._store_revision, read.revision
+        self._restores.note(read.revision)
+        if former and era_of(former) == era_of(read.revision) and former <= read.revision:
             return
-        if revision:
+        if former:
             self._metrics.count("store_went_back")
-        old = f"era {era}, revision {revision}" if revision else "unknown"
-        new = f"era {read.era}, revision {read.revision}"
-        self._events.state("store position", old, new, self._client.address)
+        old = in_words(former) if former else "unknown"
+        self._events.state("store position", old, in_words(read.revision), self._client.address)
 
     def take_operator(self, read):
         """Take what operators have written, from a `StoreRead` that holds all of it."""
         for item in read.items:
             self.take_change(item)
+        if self._restores.missing_may_return:
+            return
         marks = {item.key for item in read.items if item.key.startswith(EVACUATIONS_PREFIX)}
         self._withdraw(EVACUATIONS_PREFIX, marks, read.revision)
 
@@ -263,7 +272,7 @@
         self._withdraw_foreign(foreign, items)
         for key, entry in entries.items():
             self._take_server(items[key], entry)
-        if now() < self._returning_until:
+        if now() < self._returning_until or self._restores.missing_may_return:
             return
         self._withdraw(SERVERS_PREFIX, items, read.revision)
 
@@ -288,7 +297,25 @@
 
     def _take_server(self, item, entry):
         held = self._settings.get(item.key)
+        if held is None:
+            self._settings.take(item.key, item.revision, entry, "store")
+            return
+        if self._restores.may_be_overtaken and _is_overtaken(held, entry):
+            return
+        if not held.deleted and number_of(held.document["created"]) == number_of(entry["created"]):
+            # A restore changes the era of all creations, and of no server.
+            entry["created"] = held.document["created"]
         # The heartbeat raises the item's revision all the time; only what
         # changed in substance is news to others.
-        if held is None or held.document != entry:
+        if held.document != entry:
             self._settings.take(item.key, item.revision, entry, "store")
+
+
+def _is_overtaken(held, entry):
+    """Return whether `entry` may tell of a time before its server left, or began to leave."""
+    if held.deleted:
+        return True
+    former = held.document
+    if former["born_ms"] != entry["born_ms"]:
+        return False
+    return former["state"] == "draining" and entry["state"] == "ready"
--- a/caperstack/platform/standin/growth.py
+++ b/caperstack/platform/standin/growth.py
@@ -248,10 +248,10 @@
         """The running nodes."""
         return list(self._nodes.values())
 
-    def register(self, host, zone, service, state="ready"):
+    def register(self, host, zone, service, state="ready", slots=8):
         """Write the entry of the backend server at `host`."""
         name = f"i-{host}"
-        server = StandinInstance(f"{host}:8000", service, name)
+        server = StandinInstance(f"{host}:8000", service, name, slots)
         self.store.put(f"{SERVERS_PREFIX}{name}", server.entry(zone, state))
 
     def drain(self, number):
@@ -263,6 +263,12 @@
         self._nodes = {place[0]: Node(self, *place) for place in self._places}
         await asyncio.gather(*(node.start() for node in self.nodes))
 
+    async def start_node(self, host):
+        """Start the node at `host`, which does not run."""
+        place = next(place for place in self._places if place[0] == host)
+        self._nodes[host] = Node(self, *place)
+        await self._nodes[host].start()
+
     async def stop(self):
         """Stop all nodes at once."""
         nodes, self._nodes = self.nodes, {}
--- a/caperstack/platform/store.py
+++ b/caperstack/platform/store.py
@@ -12,6 +12,7 @@
 from caperstack.clock import time_left
 from caperstack.exception import HistoryError, PlatformError
 from caperstack.platform.names import STORE_ERA
+from caperstack.settings.revisions import era_of, number_of, revision_in
 
 __all__ = ["StoreChanges", "StoreClient", "StoreItem", "StoreRead"]
 
@@ -63,6 +64,9 @@
 class StoreItem:
     """One item, with the revisions of its last change and of its creation.
 
+    Revisions here and below are in order over all eras of the store, see
+    `caperstack.settings.revisions.revision_in`.
+
     Attributes
     ----------
     value : bytes or None
@@ -88,13 +92,10 @@
         The items, by key.
     revision : int
         The store's revision at the first page: what is missing was gone then.
-    era : int
-        How often the store had come back from an older copy then.
     """
 
     items: list
     revision: int
-    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,14 +155,17 @@
             If the store refuses, is silent or sends something else.
         """
         items = []
-        first = None
+        revision = None
         after = None
         for _ in range(PAGES_MOST):
             page, era = await self._page(prefix, after, stale)
-            first = first or (page.revision, era)
-            items += [_store_item(item) for item in page.items]
+            if revision is None:
+                revision = revision_in(era, page.revision)
+            elif era != era_of(revision):
+                raise PlatformError("restored between pages", step="read", peer=self._address)
+            items += [_store_item(item, era) for item in page.items]
             if not page.more or not page.items:
-                return StoreRead(items, *first)
+                return StoreRead(items, revision)
             after = page.items[-1].key
         raise PlatformError("no end of pages", step="read", peer=self._address)
 
@@ -180,18 +184,24 @@
         Raises
         ------
         HistoryError
-            If the store does not keep the changes since that revision any more.
+            If the store does not keep the changes since that revision any more, or
+            has come back from a copy since.
         PlatformError
             If the store refuses, is silent or sends something else.
         """
         wait = max(0.0, time_left(wait_until))
-        query = urlencode({"prefix": prefix, "after": after, "waitMs": int(wait * 1000)})
+        query = urlencode({"prefix": prefix, "after": number_of(after), "waitMs": int(wait * 1000)})
         response = await self._get(f"/v1/kv-watch?{query}", wait + LATE_SECONDS)
         try:
             page = msgspec.json.decode(response.body, type=_Events)
         except msgspec.MsgspecError as error:
             raise PlatformError(str(error), step="watch", peer=self._address) from None
-        return StoreChanges([_store_item(event) for event in page.events], page.revision)
+        era = _era(response)
+        if era != era_of(after):
+            # The number may be given out again: what was written below it is not told.
+            raise HistoryError("another era", step="watch", peer=self._address)
+        items = [_store_item(event, era) for event in page.events]
+        return StoreChanges(items, revision_in(era, page.revision))
 
     async def _page(self, prefix, after, stale):
         query = {"prefix": prefix}
@@ -239,7 +249,7 @@
         request.exception()
 
 
-def _store_item(item):
+def _store_item(item, era):
     # Failure: one value that can't be read fails the whole reading, for as long
     # as it lies there, and nobody learns of any other server.
     try:
@@ -247,4 +257,10 @@
     except ValueError:
         value = None
     deleted = isinstance(item, _Event) and item.deleted
-    return StoreItem(item.key, value, item.revision, item.created, deleted)
+    return StoreItem(
+        item.key,
+        value,
+        revision_in(era, item.revision),
+        revision_in(era, item.created),
+        deleted,
+    )
--- a/caperstack/platform/tests/test_entries.py
+++ b/caperstack/platform/tests/test_entries.py
@@ -12,15 +12,7 @@
 from caperstack.platform.entries import ServerEntry, decode_entry
 from caperstack.platform.items import StoreCodec
 from caperstack.platform.store import StoreItem, StoreRead
-from caperstack.platform.tests.readercase import FLEET, ReaderCase
-
-BORN = 1_790_000_000_000
-
-
-def registered(number=0, **changes):
-    """Return what the server of that host writes; `changes` are of its top level."""
-    host = FLEET.hosts[number]
-    return host.instance.entry(host.zone) | {"born": BORN + number} | changes
+from caperstack.platform.tests.readercase import BORN, FLEET, ReaderCase, registered
 
 
 def decoded(document, key="servers/i-1"):
--- a/caperstack/settings/main.py
+++ b/caperstack/settings/main.py
@@ -12,6 +12,7 @@
 from caperstack.config.tree import parse_subtree, subtree_schema
 from caperstack.exception import ConfigurationError
 from caperstack.settings.compile import compile_tree
+from caperstack.settings.revisions import in_words
 
 __all__ = ["main"]
 
@@ -103,11 +104,11 @@
 
 
 def _row(host, subtree):
-    held = "deleted" if subtree["deleted"] else f"revision {subtree['revision']}"
+    held = "deleted" if subtree["deleted"] else in_words(subtree["revision"])
     age = wall_microseconds() / 1e6 - subtree["since_us"] / 1e6
     text = f"{host:20} {subtree['path'] or '/':24} {held:14} {age:8.1f} s, from {subtree['source']}"
     if subtree["refused_reason"]:
-        text += f"; refused {subtree['refused_revision']}: {subtree['refused_reason']}"
+        text += f"; refused {in_words(subtree['refused_revision'])}: {subtree['refused_reason']}"
     for problem in subtree["problems"]:
         text += f"; not in force: {problem}"
     return text
--- a/caperstack/settings/store.py
+++ b/caperstack/settings/store.py
@@ -6,6 +6,7 @@
 from caperstack.exception import ConfigurationError
 from caperstack.routing.table import ANY_HOST, EffectiveService
 from caperstack.settings.digest import RevisionDigest, bucket_of
+from caperstack.settings.revisions import in_words
 
 __all__ = ["Held", "SettingsStore"]
 
@@ -146,7 +147,8 @@
         held.source = source
         held.since_us = wall_microseconds()
         self._metrics.count("settings_changes")
-        self._events.state(f"settings {path or '/'}", "older", f"revision {revision}", source)
+        words = in_words(revision)
+        self._events.state(f"settings {path or '/'}", "older", words, source)
         if self._codec.affects_routes(path):
             self._compile()
         for listener in self._listeners:
