A node that starts looks up no route before it agrees with a peer

Cause: a node that starts reads the store, which has come back from a copy, and knows routes at once; its calls waited only until a peer had spoken, not until what the peer holds had come, and the route was looked up before that. Class: the same as any start beside an old reading. Change: calls of the first second wait until the node agrees with a peer, as its start does where peers are known beforehand, and the route is looked up after that. The deadline and the objective count from the arrival.

--- a/caperstack/callers/port.py
+++ b/caperstack/callers/port.py
@@ -24,7 +24,7 @@
 )
 from caperstack.calls.model import Call, NotRun, Unknown
 from caperstack.calls.responses import outcome_name
-from caperstack.clock import deadline_after, now
+from caperstack.clock import now
 from caperstack.routing.split import Splitter
 
 __all__ = ["CallerPort"]
@@ -169,8 +169,11 @@
         begun = now()
         name = request_id(headers.get(self._dialect.request_id))
         extra = [(self._dialect.request_id, name)]
+        # Before the route is looked up: a node that has just started may hold an
+        # older configuration than its peers.
+        await self._sync.until_contact()
         try:
-            call = self._call(start, headers, body, context, name)
+            call = self._call(start, headers, body, context, name, begun)
         except _BadRequestError as error:
             text = f"{error.field}: {error.reason}"
             return self._counted(NotRun(text, status=400), "none"), extra
@@ -190,7 +193,6 @@
         return outcome
 
     async def _outcome(self, call):
-        await self._sync.until_contact()
         if call.idempotent or not call.key or self._claims is None:
             return await self._dispatcher.dispatch(call)
         held, refusal = await self._claims.claim(call)
@@ -220,7 +222,7 @@
         )
         return outcome
 
-    def _call(self, start, headers, body, context, name):
+    def _call(self, start, headers, body, context, name, begun):
         if start.version == "HTTP/1.1" and "Host" not in headers:
             raise _BadRequestError("Host", "missing")
         path = start.path.partition("?")[0]
@@ -237,7 +239,8 @@
         idempotent = route.idempotent
         if idempotent is None:
             idempotent = start.method in SAFE_METHODS
-        deadline = deadline_after(seconds)
+        deadline = begun + seconds
+        objective_at = begun + route.objective_seconds - waited
         return Call(
             id=0,
             origin=self._here.host,
@@ -253,7 +256,7 @@
             key=key,
             depth=depth,
             route=route.name or route.path,
-            objective_at=min(deadline, deadline_after(route.objective_seconds - waited)),
+            objective_at=min(deadline, objective_at),
             attempts=route.attempts,
             fingerprint=fingerprint_of(
                 start.method, start.path, headers, body, self._here.backend.service
--- a/caperstack/settings/sync.py
+++ b/caperstack/settings/sync.py
@@ -49,7 +49,7 @@
 #: How long a starting node waits for a neighbour to agree with, in seconds.
 FIRST_CONTACT_SECONDS = 2.0
 
-#: How long after its start a node holds calls until a peer has spoken, in seconds;
+#: How long after its start a node holds calls until it agrees with a peer, in seconds;
 #: a connection takes some milliseconds where one lives.
 CONTACT_SECONDS = 1.0
 
@@ -82,7 +82,6 @@
         self._readings = Readings(here.host)
         self._read_listeners = []
         self._agrees = asyncio.Event()
-        self._contact = asyncio.Event()
         self._contact_until = 0.0
         self._comparisons = Comparisons()
         self._news = {}
@@ -177,26 +176,26 @@
         self._handle(message, body, host, connection)
 
     async def until_contact(self):
-        """Wait until a peer has spoken, or so long after the start that none seems to be there.
+        """Wait until this node agrees with a peer, or so long that none seems to be there.
 
         Notes
         -----
-        Failure: a node starts, reads the platform, and sends on its first calls
-        before any peer could tell it which requests all others keep away; one of
-        these ends the server beside it.  A new peer tells that before it speaks
-        of settings, so whoever has heard of settings knows it.
+        Failure: a node starts, reads an old copy of the platform's settings, and tells
+        callers that a route does not exist, just as a peer is about to send it.  Or it
+        sends on its first calls before any peer could tell it which requests all others
+        keep away; one of these ends the server beside it.  A new peer tells that before
+        it speaks of settings, so whoever agrees on settings knows it.
         """
-        if self._contact.is_set() or now() >= self._contact_until:
+        if self._agrees.is_set() or now() >= self._contact_until:
             return
         if next(self._topology.parents(), None) is None:
             return
         self._touch_parents()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(self._contact_until):
-                await self._contact.wait()
+                await self._agrees.wait()
 
     def _hear(self):
-        self._contact.set()
         self._heard_until = deadline_after(SILENT_SECONDS)
 
     @_handle.register
--- a/caperstack/settings/tests/test_sync.py
+++ b/caperstack/settings/tests/test_sync.py
@@ -82,6 +82,17 @@
         self.assertLessEqual(len(told), TELL_NEAR + TELL_FAR + SUCCESSORS)
         self.assertLessEqual(set(self.sync._topology.successors(SUCCESSORS)), told)
 
+    async def test_calls_wait_until_the_settings_of_a_peer_have_come(self):
+        """A node that starts hears a peer, and says 404 while the newer routes are on their way."""
+        waiting = asyncio.create_task(self.sync.until_contact())
+        self.sync.take("h1", self.peers["h1"], Digest(1), b"")
+        self.sync.take("h1", self.peers["h1"], Revisions({"": 5}), b"")
+        await asyncio.sleep(0.02)
+        self.assertFalse(waiting.done())
+        body = pack(ROUTES)
+        self.sync.take("h1", self.peers["h1"], SubtreeBody(1, len(body), "", 5, False), body)
+        await asyncio.wait_for(waiting, 0.1)
+
     async def test_body_is_asked_elsewhere_when_the_peer_that_was_asked_is_gone(self):
         """The peer that was asked for a body is killed, and nobody tells of it again."""
         for host in ("h1", "h2"):
