What peers tell after a restore of the store takes no leaving back either

What callers would see: a node starts just after the store came back from a copy, reads that a server is ready, and tells its peers, in the new era and so at a higher revision; they call a server again that had begun to leave or had gone. Cause: the guard of the first seconds stood in the reader, before the node's own readings only. Change: it stands where settings are taken, whoever tells them. A start of a server that was not known when it went is taken at once. Evidence: with the guard off four tests are red, two of them new (test_peer_that_has_just_started_lifts_no_leaving_mark, ..._brings_no_server_back); on the code before these two are not guarded by anything.

--- a/caperstack/platform/assemble.py
+++ b/caperstack/platform/assemble.py
@@ -19,6 +19,7 @@
 from caperstack.platform.names import DIALECT
 from caperstack.platform.reader import StoreReader
 from caperstack.platform.ready import ReadyPort
+from caperstack.platform.restores import Restores
 from caperstack.platform.store import StoreClient
 from caperstack.platform.watch import OperatorWatch
 from caperstack.quarantine.exchange import SuspectExchange
@@ -45,7 +46,8 @@
     kernel = Kernel()
     plain = Plain()
     metrics = Metrics(here.host)
-    codec = StoreCodec()
+    restores = Restores(boot.heartbeat_seconds)
+    codec = StoreCodec(restores)
     client = BackendClient(
         here.backend.address, here.backend.connections, here.limits.body_bytes, DIALECT
     )
@@ -65,7 +67,7 @@
     kernel.register("fleet", fleet)
     kernel.register("evacuation", Evacuation(here))
     store = StoreClient(boot.store_address, metrics)
-    reader = StoreReader(here, store, boot.heartbeat_seconds)
+    reader = StoreReader(here, store, restores)
     kernel.register("store reader", reader)
     kernel.register("operator watch", OperatorWatch(here, store, reader))
     kernel.register("pace probe", PaceProbe(fleet.health_path, lambda: codec.measuring_per_second))
--- a/caperstack/platform/entries.py
+++ b/caperstack/platform/entries.py
@@ -138,6 +138,10 @@
         while len(self._latest) > BIRTHS_MOST:
             self._latest.popitem(last=False)
 
+    def knows(self, instance, born_ms):
+        """Return whether that start of an instance, or a later one, was seen."""
+        return self._latest.get(instance, -1) >= born_ms
+
 
 def decode_entry(key, value, created):
     """Return what matters of the entry in `value`, as a document for peers.
--- a/caperstack/platform/items.py
+++ b/caperstack/platform/items.py
@@ -8,7 +8,8 @@
 from caperstack.exception import ConfigurationError
 from caperstack.platform.durations import seconds_of
 from caperstack.platform.entries import Births, parse_entry
-from caperstack.platform.names import CONFIGURATION_KEY, EVACUATIONS_PREFIX
+from caperstack.platform.names import CONFIGURATION_KEY, EVACUATIONS_PREFIX, SERVERS_PREFIX
+from caperstack.platform.restores import Restores
 from caperstack.routing.table import EffectiveService, Route, RoutingTable, WeightedService
 
 __all__ = ["Configuration", "StoreCodec", "decode_configuration"]
@@ -111,10 +112,17 @@
 
 
 class StoreCodec:
-    """Parses and compiles what the store holds, for `caperstack.settings.store.SettingsStore`."""
+    """Parses and compiles what the store holds, for `caperstack.settings.store.SettingsStore`.
 
-    def __init__(self):
+    Parameters
+    ----------
+    restores : caperstack.platform.restores.Restores, optional
+        Tells whether the store came back from a copy lately.
+    """
+
+    def __init__(self, restores=None):
         self._births = Births()
+        self._restores = restores or Restores()
 
     @property
     def measuring_per_second(self):
@@ -140,6 +148,31 @@
         self._births.check(entry)
         return entry
 
+    def overtaken(self, held, revision, document):
+        """Return whether `document` may be of a time before what is held, in spite of its revision.
+
+        Notes
+        -----
+        Failure: the store comes back from a copy that shows a server before it left, or
+        began to leave. A node reads that, or hears it from a peer that has just started,
+        and calls go there again.
+        """
+        if held.path == CONFIGURATION_KEY:
+            # Its version is no revision of the store.
+            return False
+        self._restores.note(revision)
+        if document is None or held.revision < 0 or not held.path.startswith(SERVERS_PREFIX):
+            return False
+        return self._restores.may_be_overtaken and self._takes_leaving_back(held, document)
+
+    def _takes_leaving_back(self, held, document):
+        """Return whether a server that is gone or leaving would be ready again by `document`."""
+        entry = parse_entry(held.path, document)
+        if held.deleted:
+            return self._births.knows(entry.instance, entry.born_ms)
+        same_start = held.parsed.born_ms == entry.born_ms
+        return same_start and held.parsed.leaving and not entry.leaving
+
     def compile(self, parsed):
         """Return the `RoutingTable` of what is held, by key."""
         table = RoutingTable()
--- a/caperstack/platform/reader.py
+++ b/caperstack/platform/reader.py
@@ -15,7 +15,7 @@
     OPERATOR_PREFIX,
     SERVERS_PREFIX,
 )
-from caperstack.platform.restores import HEARTBEAT_SECONDS, RETURN_SECONDS, Restores
+from caperstack.platform.restores import RETURN_SECONDS, Restores
 from caperstack.settings.neighbours import Topology
 from caperstack.settings.revisions import era_of, in_words, number_of
 
@@ -67,11 +67,11 @@
         This node.
     client : caperstack.platform.store.StoreClient
         What it reads with.
-    heartbeat_seconds : float
-        How often a backend server writes its entry.
+    restores : caperstack.platform.restores.Restores, optional
+        Tells whether the store came back from a copy lately.
     """
 
-    def __init__(self, here, client, heartbeat_seconds=HEARTBEAT_SECONDS):
+    def __init__(self, here, client, restores=None):
         self._here = here
         self._client = client
         self._read_at = None
@@ -83,7 +83,7 @@
         self._returning_until = 0.0
         self._foreign = set()
         self._store_revision = 0
-        self._restores = Restores(heartbeat_seconds)
+        self._restores = restores or Restores()
         self._configuration_seen = None
         self._task = None
 
@@ -101,7 +101,6 @@
         self._metrics = kernel.find("metrics")
         self._topology = Topology(self._here, kernel.find("members"))
         self._sync.on_read(self._take_told)
-        self._settings.listen(lambda held: self._restores.note(held.revision))
         self._metrics.gauge("store_read_age_seconds", "age of the newest reading", self._age)
         self._task = asyncio.create_task(self._read_for_ever())
 
@@ -300,8 +299,6 @@
         if held is None:
             self._settings.take(item.key, item.revision, entry, "store")
             return
-        if self._restores.may_be_overtaken and _is_overtaken(held, entry):
-            return
         if not held.deleted and number_of(held.document["created"]) == number_of(entry["created"]):
             # A restore changes the era of all creations, and of no server.
             entry["created"] = held.document["created"]
@@ -309,13 +306,3 @@
         # changed in substance is news to others.
         if held.document != entry:
             self._settings.take(item.key, item.revision, entry, "store")
-
-
-def _is_overtaken(held, entry):
-    """Return whether `entry` may tell of a time before its server left, or began to leave."""
-    if held.deleted:
-        return True
-    former = held.document
-    if former["born_ms"] != entry["born_ms"]:
-        return False
-    return former["state"] == "draining" and entry["state"] == "ready"
--- a/caperstack/platform/standin/growth.py
+++ b/caperstack/platform/standin/growth.py
@@ -17,6 +17,7 @@
 from caperstack.platform.items import StoreCodec
 from caperstack.platform.names import CONFIGURATION_KEY, SERVERS_PREFIX
 from caperstack.platform.reader import StoreReader
+from caperstack.platform.restores import Restores
 from caperstack.platform.standin.fleet import configuration
 from caperstack.platform.standin.instance import StandinInstance
 from caperstack.platform.standin.modelstore import ModelStore
@@ -157,7 +158,8 @@
         peer = f"{host}:{PEER_PORT}"
         self.here = Here(host, zone, REGION, peer, peer, peer, backend)
         self.fleet = fleet
-        self.settings = SettingsStore(StoreCodec())
+        restores = Restores()
+        self.settings = SettingsStore(StoreCodec(restores))
         self.members = Members(self.here)
         self.sync = SettingsSync(self.here)
         self.suspects = Suspects()
@@ -165,7 +167,7 @@
         self.hooks = (self.exchange, self.sync)
         self.view = FleetView(self.here, ColdBound())
         client = fleet.store.client()
-        self.reader = StoreReader(self.here, client)
+        self.reader = StoreReader(self.here, client, restores)
         self.watch = OperatorWatch(self.here, client, self.reader)
         quiet = _Quiet()
         self._services = {
--- a/caperstack/platform/tests/readercase.py
+++ b/caperstack/platform/tests/readercase.py
@@ -5,6 +5,7 @@
 
 from caperstack.platform.items import StoreCodec
 from caperstack.platform.reader import StoreReader
+from caperstack.platform.restores import Restores
 from caperstack.platform.standin.fleet import PlatformFleet
 from caperstack.platform.store import StoreItem, StoreRead
 from caperstack.settings.store import SettingsStore
@@ -31,10 +32,11 @@
 
     def begin(self):
         self.events = mock.Mock()
-        self.settings = SettingsStore(StoreCodec())
+        restores = Restores()
+        self.settings = SettingsStore(StoreCodec(restores))
         self.settings._events = self.events
         self.settings._metrics = mock.Mock()
-        self.reader = StoreReader(FLEET.hosts[0].boot, mock.Mock(address="store"))
+        self.reader = StoreReader(FLEET.hosts[0].boot, mock.Mock(address="store"), restores)
         self.reader._settings = self.settings
         self.reader._events = self.events
         self.reader._metrics = mock.Mock()
--- a/caperstack/platform/tests/test_restore.py
+++ b/caperstack/platform/tests/test_restore.py
@@ -172,6 +172,22 @@
         self.read_at(1, 16, self.entry_at(1, 15))
         self.assertIsNone(self.held)
 
+    def test_peer_that_has_just_started_lifts_no_leaving_mark(self):
+        """A node starts, reads the copy, and tells its peers that a leaving server is ready."""
+        self.read_at(0, 20, self.entry_at(0, 20, "draining"))
+        document = decode_entry(self.KEY, self.entry_at(1, 15).value, revision_in(1, 4))
+        self.assertFalse(self.settings.take(self.KEY, revision_in(1, 15), document, "peer"))
+        self.assertTrue(self.held.leaving)
+        self.wait(8.0)
+        self.assertTrue(self.settings.take(self.KEY, revision_in(1, 15), document, "peer"))
+
+    def test_peer_that_has_just_started_brings_no_server_back(self):
+        self.read_at(0, 20, self.entry_at(0, 20))
+        self.read_at(0, 21)
+        document = decode_entry(self.KEY, self.entry_at(1, 15).value, revision_in(1, 4))
+        self.assertFalse(self.settings.take(self.KEY, revision_in(1, 15), document, "peer"))
+        self.assertIsNone(self.held)
+
     def test_server_that_stays_listed_after_a_restore_is_called_again(self):
         """An entry lapsed in the outage, and its living server gets no calls for good."""
         self.read_at(0, 20, self.entry_at(0, 20))
@@ -186,6 +202,12 @@
         self.read_at(1, 16, self.entry_at(1, 15, born=BORN + 9))
         self.assertFalse(self.held.leaving)
 
+    def test_new_start_of_a_server_that_was_gone_is_taken_at_once(self):
+        self.read_at(0, 20, self.entry_at(0, 20))
+        self.read_at(0, 21)
+        self.read_at(1, 16, self.entry_at(1, 15, born=BORN + 9))
+        self.assertIsNotNone(self.held)
+
     def test_unchanged_entry_is_no_news(self):
         """A restore makes each node take and tell all entries anew."""
         self.read_at(0, 20, self.entry_at(0, 20))
--- a/caperstack/settings/compile.py
+++ b/caperstack/settings/compile.py
@@ -15,6 +15,10 @@
         """Return the `caperstack.config.tree.Subtree` in `document`."""
         return parse_subtree(path, document)
 
+    def overtaken(self, held, revision, document):
+        """Return whether a higher revision may be of an earlier time: never here."""
+        return False
+
     def compile(self, subtrees):
         """Return the `RoutingTable` of subtrees by path."""
         return compile_tree(subtrees)
--- a/caperstack/settings/store.py
+++ b/caperstack/settings/store.py
@@ -46,8 +46,9 @@
     Parameters
     ----------
     codec : object
-        With ``parse(path, document)``, ``compile(parsed by path)``,
-        ``affects_routes(path)``, ``dates_routes(path)`` and ``complete(parsed by path)``.
+        With ``parse(path, document)``, ``overtaken(held, revision, document)``,
+        ``compile(parsed by path)``, ``affects_routes(path)``, ``dates_routes(path)`` and
+        ``complete(parsed by path)``.
     initial : dict, optional
         Documents by path that came with the start settings.
     """
@@ -134,6 +135,8 @@
             return False
         held = self._held.setdefault(path, Held(path))
         try:
+            if self._codec.overtaken(held, revision, document):
+                return False
             parsed = None if document is None else self._codec.parse(path, document)
         except ConfigurationError as error:
             self._refuse(held, revision, str(error))
