An era that can't be read fails the reading; the restore's code is read as a newcomer

An era of no number was taken for 0, and everything held would have looked newer than everything read from then on: the node would have gone by old entries without a word. It is a failed reading now, told like every other; revisions and eras beyond what one number orders are refused alike. test_era_that_cannot_be_read_fails_the_reading: red before on the first of six texts. Names: is_overtaken; a note returns nothing, since nobody asked.

--- a/caperstack/platform/items.py
+++ b/caperstack/platform/items.py
@@ -148,7 +148,7 @@
         self._births.check(entry)
         return entry
 
-    def overtaken(self, held, revision, document):
+    def is_overtaken(self, held, revision, document):
         """Return whether `document` may be of a time before what is held, in spite of its revision.
 
         Notes
--- a/caperstack/platform/restores.py
+++ b/caperstack/platform/restores.py
@@ -49,14 +49,14 @@
         return now() < self._overtaken_until
 
     def note(self, revision):
-        """Note the era of a revision, whoever told it; return whether it is a later one."""
+        """Note the era of a revision, whoever told it."""
         era = era_of(revision)
-        if self._era is not None and era <= self._era:
-            return False
-        # A node that starts has nothing that could be overtaken.
-        later = self._era is not None
-        if later:
-            self._missing_until = deadline_after(RETURN_SECONDS)
-            self._overtaken_until = deadline_after(RETURN_SECONDS + self._lapse_seconds)
+        former = self._era
+        if former is not None and era <= former:
+            return
         self._era = era
-        return later
+        if former is None:
+            # A node that starts holds nothing that the copy could contradict.
+            return
+        self._missing_until = deadline_after(RETURN_SECONDS)
+        self._overtaken_until = deadline_after(RETURN_SECONDS + self._lapse_seconds)
--- a/caperstack/platform/store.py
+++ b/caperstack/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 from dataclasses import dataclass
+from typing import Annotated
 from urllib.parse import urlencode
 
 import msgspec
@@ -12,7 +13,7 @@
 from caperstack.clock import time_left
 from caperstack.exception import HistoryError, PlatformError
 from caperstack.platform.names import STORE_ERA
-from caperstack.settings.revisions import era_of, number_of, revision_in
+from caperstack.settings.revisions import ERAS, NUMBERS, era_of, number_of, revision_in
 
 __all__ = ["StoreChanges", "StoreClient", "StoreItem", "StoreRead"]
 
@@ -32,32 +33,35 @@
 PAGES_MOST = 200
 
 
+_Revision = Annotated[int, msgspec.Meta(ge=0, lt=NUMBERS)]
+
+
 class _Item(msgspec.Struct):
     key: str
     value: str = ""
-    revision: int = 0
-    created: int = 0
+    revision: _Revision = 0
+    created: _Revision = 0
 
 
 class _Page(msgspec.Struct):
     items: list[_Item]
     more: bool = msgspec.field(name="hasMore")
     # The store's revision when the page was read.
-    revision: int = msgspec.field(name="storeRevision")
+    revision: _Revision = msgspec.field(name="storeRevision")
 
 
 class _Event(msgspec.Struct):
     key: str
     value: str = ""
-    revision: int = 0
-    created: int = 0
+    revision: _Revision = 0
+    created: _Revision = 0
     deleted: bool = False
 
 
 class _Events(msgspec.Struct):
     events: list[_Event]
     # From where the next watch goes on.
-    revision: int = msgspec.field(name="storeRevision")
+    revision: _Revision = msgspec.field(name="storeRevision")
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,7 +200,7 @@
             page = msgspec.json.decode(response.body, type=_Events)
         except msgspec.MsgspecError as error:
             raise PlatformError(str(error), step="watch", peer=self._address) from None
-        era = _era(response)
+        era = self._era(response)
         if era != era_of(after):
             # The number may be given out again: what was written below it is not told.
             raise HistoryError("another era", step="watch", peer=self._address)
@@ -211,10 +215,17 @@
             query["staleOk"] = "1"
         response = await self._get(f"/v1/kv-range?{urlencode(query)}")
         try:
-            return msgspec.json.decode(response.body, type=_Page), _era(response)
+            return msgspec.json.decode(response.body, type=_Page), self._era(response)
         except msgspec.MsgspecError as error:
             raise PlatformError(str(error), step="page", peer=self._address) from None
 
+    def _era(self, response):
+        """Return the era that an answer names; 0 where the store names none."""
+        text = response.headers.get(STORE_ERA, "0")
+        if not (text.isascii() and text.isdigit() and int(text) < ERAS):
+            raise PlatformError(f"{STORE_ERA}: {text[:20]!r}", step="read", peer=self._address)
+        return int(text)
+
     async def _get(self, path, seconds=READ_SECONDS):
         self._metrics.count("store_calls")
         try:
@@ -238,12 +249,6 @@
         return response
 
 
-def _era(response):
-    """Return the era that an answer names; 0 where the store names none."""
-    text = response.headers.get(STORE_ERA, "0")
-    return int(text) if text.isascii() and text.isdigit() else 0
-
-
 def _note_failure(request):
     if not request.cancelled():
         request.exception()
--- a/caperstack/platform/tests/test_restore.py
+++ b/caperstack/platform/tests/test_restore.py
@@ -286,6 +286,14 @@
         with self.assertRaises(HistoryError):
             await self.client.watch("a", revision, deadline_after(1.0))
 
+    async def test_era_that_cannot_be_read_fails_the_reading(self):
+        """An era taken for 0 would make all that is held newer than all that is read."""
+        for era in ("", "-1", "1.5", "two", "²", 1 << 22):
+            self.store.era = era
+            with self.assertRaises(PlatformError) as caught:
+                await self.client.read("")
+            self.assertIn("Store-Era", str(caught.exception))
+
     async def test_pages_of_two_eras_are_no_reading(self):
         """What the copy lacks on the second page is taken for gone."""
         for key in "abc":
--- a/caperstack/settings/compile.py
+++ b/caperstack/settings/compile.py
@@ -15,7 +15,7 @@
         """Return the `caperstack.config.tree.Subtree` in `document`."""
         return parse_subtree(path, document)
 
-    def overtaken(self, held, revision, document):
+    def is_overtaken(self, held, revision, document):
         """Return whether a higher revision may be of an earlier time: never here."""
         return False
 
--- a/caperstack/settings/revisions.py
+++ b/caperstack/settings/revisions.py
@@ -1,11 +1,14 @@
 """Revisions that stay in order when the counter they come from is set back."""
 
-__all__ = ["era_of", "in_words", "number_of", "revision_in"]
+__all__ = ["ERAS", "NUMBERS", "era_of", "in_words", "number_of", "revision_in"]
 
-#: Bits of a revision for the counter's own value; the era stands above them.
+#: Bits of a revision for the counter's own value, and for the era above them.
 NUMBER_BITS = 40
+ERA_BITS = 22
 
+#: Numbers and eras are below these.
 NUMBERS = 1 << NUMBER_BITS
+ERAS = 1 << ERA_BITS
 
 
 def revision_in(era, number):
@@ -14,9 +17,9 @@
     Parameters
     ----------
     era : int
-        How often the counter has been set back.
+        How often the counter has been set back, below `ERAS`.
     number : int
-        The counter's value, below 2**40.
+        The counter's value, below `NUMBERS`.
 
     Notes
     -----
--- a/caperstack/settings/store.py
+++ b/caperstack/settings/store.py
@@ -46,7 +46,7 @@
     Parameters
     ----------
     codec : object
-        With ``parse(path, document)``, ``overtaken(held, revision, document)``,
+        With ``parse(path, document)``, ``is_overtaken(held, revision, document)``,
         ``compile(parsed by path)``, ``affects_routes(path)``, ``dates_routes(path)`` and
         ``complete(parsed by path)``.
     initial : dict, optional
@@ -135,7 +135,7 @@
             return False
         held = self._held.setdefault(path, Held(path))
         try:
-            if self._codec.overtaken(held, revision, document):
+            if self._codec.is_overtaken(held, revision, document):
                 return False
             parsed = None if document is None else self._codec.parse(path, document)
         except ConfigurationError as error:
@@ -150,8 +150,7 @@
         held.source = source
         held.since_us = wall_microseconds()
         self._metrics.count("settings_changes")
-        words = in_words(revision)
-        self._events.state(f"settings {path or '/'}", "older", words, source)
+        self._events.state(f"settings {path or '/'}", "older", in_words(revision), source)
         if self._codec.affects_routes(path):
             self._compile()
         for listener in self._listeners:
