All nodes count from one moment after a restore of the store

What callers would see, found by reading the mend again: (1) a node that reads for the first time some seconds after the restore waits 2.5 s from then before it takes what is missing for gone; while it is the one that reads, calls go on to a server that has left. (2) A node that starts just after the restore takes what the copy lacks for gone at once, in the new era and so above what all others hold; a living server loses all its calls, and the guard against overtaken entries kept it out when it wrote again. Cause: each node counted from its own first sight of the era, a started one not at all; and the guard did not ask whether what it held was of the same era.

--- a/caperstack/peers/messages.py
+++ b/caperstack/peers/messages.py
@@ -240,12 +240,15 @@
 
     With ``reading`` it tells that the platform was read, ``read_age_us`` ago at
     ``sent_us`` on the sender's monotonic clock; the number names the reading.
+    ``era`` is that of the platform's revisions, first seen ``era_age_us`` ago.
     """
 
     value: int
     reading: int = 0
     read_age_us: int = 0
     sent_us: int = 0
+    era: int = 0
+    era_age_us: int = 0
 
 
 class Buckets(_Message, tag=19):
--- a/caperstack/platform/assemble.py
+++ b/caperstack/platform/assemble.py
@@ -19,12 +19,12 @@
 from caperstack.platform.names import DIALECT
 from caperstack.platform.reader import StoreReader
 from caperstack.platform.ready import ReadyPort
-from caperstack.platform.restores import Restores
 from caperstack.platform.store import StoreClient
 from caperstack.platform.watch import OperatorWatch
 from caperstack.quarantine.exchange import SuspectExchange
 from caperstack.quarantine.suspects import Suspects
 from caperstack.routing.dispatch import Dispatcher
+from caperstack.settings.restores import Restores
 from caperstack.settings.store import SettingsStore
 from caperstack.settings.sync import SettingsSync
 
@@ -63,7 +63,7 @@
     kernel.register("links", Links(here, plain))
     kernel.register("peer port", PeerPort(here, plain))
     kernel.register("suspect exchange", SuspectExchange())
-    kernel.register("settings sync", SettingsSync(here))
+    kernel.register("settings sync", SettingsSync(here, restores))
     kernel.register("fleet", fleet)
     kernel.register("evacuation", Evacuation(here))
     store = StoreClient(boot.store_address, metrics)
--- a/caperstack/platform/items.py
+++ b/caperstack/platform/items.py
@@ -9,8 +9,9 @@
 from caperstack.platform.durations import seconds_of
 from caperstack.platform.entries import Births, parse_entry
 from caperstack.platform.names import CONFIGURATION_KEY, EVACUATIONS_PREFIX, SERVERS_PREFIX
-from caperstack.platform.restores import Restores
 from caperstack.routing.table import EffectiveService, Route, RoutingTable, WeightedService
+from caperstack.settings.restores import Restores
+from caperstack.settings.revisions import era_of
 
 __all__ = ["Configuration", "StoreCodec", "decode_configuration"]
 
@@ -116,7 +117,7 @@
 
     Parameters
     ----------
-    restores : caperstack.platform.restores.Restores, optional
+    restores : caperstack.settings.restores.Restores, optional
         Tells whether the store came back from a copy lately.
     """
 
@@ -163,7 +164,9 @@
         self._restores.note(revision)
         if document is None or held.revision < 0 or not held.path.startswith(SERVERS_PREFIX):
             return False
-        return self._restores.may_be_overtaken and self._takes_leaving_back(held, document)
+        if era_of(held.revision) == era_of(revision) or not self._restores.may_be_overtaken:
+            return False
+        return self._takes_leaving_back(held, document)
 
     def _takes_leaving_back(self, held, document):
         """Return whether a server that is gone or leaving would be ready again by `document`."""
--- a/caperstack/platform/reader.py
+++ b/caperstack/platform/reader.py
@@ -15,8 +15,8 @@
     OPERATOR_PREFIX,
     SERVERS_PREFIX,
 )
-from caperstack.platform.restores import RETURN_SECONDS, Restores
 from caperstack.settings.neighbours import Topology
+from caperstack.settings.restores import RETURN_SECONDS, Restores
 from caperstack.settings.revisions import era_of, in_words, number_of
 
 __all__ = ["StoreReader"]
@@ -67,7 +67,7 @@
         This node.
     client : caperstack.platform.store.StoreClient
         What it reads with.
-    restores : caperstack.platform.restores.Restores, optional
+    restores : caperstack.settings.restores.Restores, optional
         Tells whether the store came back from a copy lately.
     """
 
--- a/caperstack/platform/standin/growth.py
+++ b/caperstack/platform/standin/growth.py
@@ -17,13 +17,13 @@
 from caperstack.platform.items import StoreCodec
 from caperstack.platform.names import CONFIGURATION_KEY, SERVERS_PREFIX
 from caperstack.platform.reader import StoreReader
-from caperstack.platform.restores import Restores
 from caperstack.platform.standin.fleet import configuration
 from caperstack.platform.standin.instance import StandinInstance
 from caperstack.platform.standin.modelstore import ModelStore
 from caperstack.platform.watch import OperatorWatch
 from caperstack.quarantine.exchange import SuspectExchange
 from caperstack.quarantine.suspects import Suspects
+from caperstack.settings.restores import Restores
 from caperstack.settings.store import SettingsStore
 from caperstack.settings.sync import SettingsSync
 
@@ -161,7 +161,7 @@
         restores = Restores()
         self.settings = SettingsStore(StoreCodec(restores))
         self.members = Members(self.here)
-        self.sync = SettingsSync(self.here)
+        self.sync = SettingsSync(self.here, restores)
         self.suspects = Suspects()
         self.exchange = SuspectExchange()
         self.hooks = (self.exchange, self.sync)
@@ -256,6 +256,10 @@
         server = StandinInstance(f"{host}:8000", service, name, slots)
         self.store.put(f"{SERVERS_PREFIX}{name}", server.entry(zone, state))
 
+    def withdraw(self, host):
+        """Take the entry of the backend server at `host` away."""
+        self.store.remove(f"{SERVERS_PREFIX}i-{host}")
+
     def drain(self, number):
         """The backend server of that number drains."""
         self.register(*self._places[number], state="draining")
--- a/caperstack/platform/standin/modelstore.py
+++ b/caperstack/platform/standin/modelstore.py
@@ -45,6 +45,12 @@
         self._items[key] = StoreItem(key, value, self.revision, created)
         self._wake_watches()
 
+    def remove(self, key):
+        """Take an item away."""
+        self.revision += 1
+        del self._items[key]
+        self._wake_watches()
+
     def _wake_watches(self):
         self._changed.set()
         self._changed = asyncio.Event()
--- a/caperstack/platform/tests/readercase.py
+++ b/caperstack/platform/tests/readercase.py
@@ -5,9 +5,9 @@
 
 from caperstack.platform.items import StoreCodec
 from caperstack.platform.reader import StoreReader
-from caperstack.platform.restores import Restores
 from caperstack.platform.standin.fleet import PlatformFleet
 from caperstack.platform.store import StoreItem, StoreRead
+from caperstack.settings.restores import Restores
 from caperstack.settings.store import SettingsStore
 
 __all__ = ["BORN", "FLEET", "ReaderCase", "registered"]
--- a/caperstack/platform/tests/test_restore.py
+++ b/caperstack/platform/tests/test_restore.py
@@ -14,7 +14,7 @@
 from caperstack.platform.names import CONFIGURATION_KEY
 from caperstack.platform.standin.fleet import configuration, route_row
 from caperstack.platform.standin.growth import SERVICES, GrowthFleet
-from caperstack.platform.standin.store import StandinStore
+from caperstack.platform.standin.store import StandinStore, StoreCopy
 from caperstack.platform.store import StoreClient, StoreItem, StoreRead
 from caperstack.platform.tests.fleetcase import FleetCase
 from caperstack.platform.tests.readercase import BORN, ReaderCase, registered
@@ -100,10 +100,8 @@
 
     def setUp(self):
         super().setUp()
-        self.clock = self.enterContext(mock.patch("caperstack.platform.restores.now"))
+        self.clock = self.enterContext(mock.patch("caperstack.settings.restores.now"))
         self.clock.return_value = 1000.0
-        until = "caperstack.platform.restores.deadline_after"
-        self.enterContext(mock.patch(until, lambda seconds: self.clock.return_value + seconds))
 
     def read_at(self, era, revision, *items):
         read = StoreRead(list(items), revision_in(era, revision))
@@ -157,6 +155,36 @@
         self.read_at(1, 16)
         self.assertIsNone(self.held)
 
+    def test_reader_that_was_told_of_the_restore_believes_what_is_missing(self):
+        """A node reads long after the restore, and keeps a server that has just gone."""
+        self.read_at(0, 20, self.entry_at(0, 20))
+        self.reader._restores.note_era(1, self.clock.return_value)
+        self.wait(3.0)
+        self.read_at(1, 18)
+        self.assertIsNone(self.held)
+
+    def test_node_that_starts_takes_nothing_for_gone_at_once(self):
+        """A node starts beside the copy, and tells all that a server which it lacks is gone."""
+        document = decode_entry(self.KEY, self.entry_at(0, 20).value, 4)
+        self.settings.take(self.KEY, revision_in(0, 20), document, "peer")
+        self.read_at(1, 16)
+        self.assertIsNotNone(self.held)
+
+    def test_node_that_starts_long_after_a_restore_believes_what_is_missing(self):
+        self.reader._restores.note_era(1, self.clock.return_value - 60.0)
+        self.read_at(1, 18, self.entry_at(1, 18))
+        self.read_at(1, 19)
+        self.assertIsNone(self.held)
+
+    def test_server_that_went_and_came_in_one_era_is_called_at_once(self):
+        """A server that was missing writes again, and gets no calls for seconds."""
+        self.read_at(1, 16, self.entry_at(1, 16))
+        self.wait(3.0)
+        self.read_at(1, 17)
+        self.assertIsNone(self.held)
+        self.read_at(1, 18, self.entry_at(1, 18))
+        self.assertIsNotNone(self.held)
+
     def test_copy_lifts_no_leaving_mark(self):
         """The copy shows a server before it began to leave, and calls go there again."""
         self.read_at(0, 20, self.entry_at(0, 20, "draining"))
@@ -415,6 +443,63 @@
     return member is not None and member.leaving
 
 
+def _first_reader(fleet):
+    """Return the first node in the order of readers that is not the last place's."""
+    nodes = [node for node in fleet.nodes if node.here.host != fleet.places[-1][0]]
+    return min(nodes, key=lambda node: node.reader._topology.rank)
+
+
+async def _seconds_without_a_server(size):
+    """Return how long others missed a server that came after the copy was made.
+
+    The node that reads first in order starts as the store is back, and the server
+    writes again 2.2 s later.
+    """
+    random.seed(size)
+    fleet = GrowthFleet(size)
+    await fleet.start()
+    await asyncio.sleep(8.0)
+    place = fleet.places[-1]
+    copy = fleet.store.copy()
+    fleet.register(*place, slots=9)
+    await asyncio.sleep(3.0)
+    lost = StoreCopy({k: v for k, v in copy.items.items() if place[0] not in k}, copy.revision)
+    fleet.store.come_back_from(lost)
+    started = _first_reader(fleet).here.host
+    await fleet.kill(started)
+    await fleet.start_node(started)
+    others = [node for node in fleet.nodes if node.here.host != started]
+    missed = 0.0
+    for steps, seconds in ((220, 0.01), (400, 0.01)):
+        for _ in range(steps):
+            missed += seconds * any(node.members.find(place[0]) is None for node in others)
+            await asyncio.sleep(seconds)
+        fleet.register(*place, slots=9)
+    await fleet.stop()
+    return missed
+
+
+async def _seconds_to_know_who_left(size):
+    """Return how long the end of an entry takes that goes five seconds after a restore."""
+    random.seed(size)
+    fleet = GrowthFleet(size)
+    await fleet.start()
+    await asyncio.sleep(8.0)
+    fleet.store.come_back_from(fleet.store.copy())
+    # The first reader in order can't reach the store until just before the end.
+    _first_reader(fleet).reader._resume_at = now() + 5.0
+    await asyncio.sleep(5.2)
+    host = fleet.places[-1][0]
+    fleet.withdraw(host)
+
+    def knows(node):
+        return node.here.host == host or node.members.find(host) is None
+
+    seconds = await _until_all(fleet, knows)
+    await fleet.stop()
+    return seconds
+
+
 async def _until_known(fleet, version):
     """Return how long it takes until all nodes know a version."""
 
@@ -448,6 +533,18 @@
             seconds = run_virtual(lambda n=size: _seconds_to_know_who_leaves(n))
             self.assertLessEqual(seconds, IN_FORCE_SECONDS, size)
 
+    def test_server_that_came_after_the_copy_is_kept_by_all(self):
+        """A node that starts reads the copy, and tells all that a living server is gone."""
+        for size in (12, 195):
+            seconds = run_virtual(lambda n=size: _seconds_without_a_server(n))
+            self.assertLess(seconds, 0.1, size)
+
+    def test_end_of_a_server_after_a_restore_is_known_in_time(self):
+        """Each node waits anew when it reads for the first time, and calls go on to who left."""
+        for size in (12, 195):
+            seconds = run_virtual(lambda n=size: _seconds_to_know_who_left(n))
+            self.assertLessEqual(seconds, IN_FORCE_SECONDS, size)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/caperstack/platform/restores.py
+++ b/caperstack/settings/restores.py
@@ -1,6 +1,6 @@
-"""For how long after the store came back from a copy its items may be overtaken."""
+"""For how long after the platform's store came back from a copy its items may be overtaken."""
 
-from caperstack.clock import deadline_after, now
+from caperstack.clock import now
 from caperstack.settings.revisions import era_of
 
 __all__ = ["HEARTBEAT_SECONDS", "RETURN_SECONDS", "Restores"]
@@ -26,6 +26,10 @@
     sends calls to the former and none to the latter, until all have written
     again what was lost.
 
+    All nodes must count from the same moment, the first reading by any of them.
+    Failure: a node reads for all long after the store is back, and keeps what is
+    missing as if the store had just come back; calls go on to a server that left.
+
     Parameters
     ----------
     heartbeat_seconds : float
@@ -34,29 +38,40 @@
 
     def __init__(self, heartbeat_seconds=HEARTBEAT_SECONDS):
         self._lapse_seconds = HEARTBEATS_TO_LAPSE * heartbeat_seconds
-        self._era = None
-        self._missing_until = 0.0
-        self._overtaken_until = 0.0
+        self._era = 0
+        self._began_at = 0.0
+
+    @property
+    def era(self):
+        """How often the store has come back from a copy, as far as is known."""
+        return self._era
+
+    @property
+    def began_at(self):
+        """The point at which any node first saw that era, as far as is known."""
+        return self._began_at
 
     @property
     def missing_may_return(self):
         """Whether what is missing may be written again."""
-        return now() < self._missing_until
+        return self._younger_than(RETURN_SECONDS)
 
     @property
     def may_be_overtaken(self):
         """Whether entries may be of servers that have left since the copy was made."""
-        return now() < self._overtaken_until
+        return self._younger_than(RETURN_SECONDS + self._lapse_seconds)
+
+    def _younger_than(self, seconds):
+        return self._era > 0 and now() < self._began_at + seconds
 
     def note(self, revision):
-        """Note the era of a revision, whoever told it."""
-        era = era_of(revision)
-        former = self._era
-        if former is not None and era <= former:
-            return
-        self._era = era
-        if former is None:
-            # A node that starts holds nothing that the copy could contradict.
-            return
-        self._missing_until = deadline_after(RETURN_SECONDS)
-        self._overtaken_until = deadline_after(RETURN_SECONDS + self._lapse_seconds)
+        """Note the era of a revision that is seen now."""
+        self.note_era(era_of(revision), now())
+
+    def note_era(self, era, began_at):
+        """Note an era that was seen first at `began_at`, by whomever."""
+        if era > self._era:
+            self._era = era
+            self._began_at = began_at
+        elif era == self._era:
+            self._began_at = min(self._began_at, began_at)
--- a/caperstack/settings/sync.py
+++ b/caperstack/settings/sync.py
@@ -17,6 +17,7 @@
 from caperstack.settings.fetches import FETCH_SECONDS, Fetches
 from caperstack.settings.neighbours import Topology
 from caperstack.settings.readings import Readings
+from caperstack.settings.restores import Restores
 
 __all__ = ["SettingsSync"]
 
@@ -69,10 +70,18 @@
 
     News travels both ways on every settings connection, whoever dialled it,
     so a change that one node alone has seen reaches all that are connected.
+
+    Parameters
+    ----------
+    here : caperstack.config.here.Here
+        This node.
+    restores : caperstack.settings.restores.Restores, optional
+        The era of the platform's revisions, told with each reading.
     """
 
-    def __init__(self, here):
+    def __init__(self, here, restores=None):
         self._here = here
+        self._restores = restores or Restores()
         self._connections = SettingsConnections()
         self._numbers = itertools.count(1)
         self._heard_until = 0.0
@@ -244,7 +253,9 @@
         if not self._readings.add(message.reading):
             return
         lateness = connection.transit.lateness(message.sent_us / 1e6, connection.arrival)
-        read_at = connection.arrival - lateness - message.read_age_us / 1e6
+        sent_at = connection.arrival - lateness
+        read_at = sent_at - message.read_age_us / 1e6
+        self._restores.note_era(message.era, sent_at - message.era_age_us / 1e6)
         self._metrics.time("reading_age_seconds", now() - read_at, "heard")
         for listener in self._read_listeners:
             listener(read_at)
@@ -259,7 +270,10 @@
     def _read_message(self, reading, read_at):
         moment = now()
         age = max(1, int((moment - read_at) * 1e6))
-        return Digest(self._store.digest.value, reading, age, int(moment * 1e6))
+        era = self._restores.era
+        era_age = max(0, int((moment - self._restores.began_at) * 1e6)) if era else 0
+        sent = int(moment * 1e6)
+        return Digest(self._store.digest.value, reading, age, sent, era, era_age)
 
     @_handle.register
     def _(self, message: Revisions, body, host, connection):
