--- a/caperstack/platform/tests/test_watch.py
+++ b/caperstack/platform/tests/test_watch.py
@@ -114,6 +114,42 @@
             self.store.drop_history()
             await self.until(lambda: calls.await_count, 0.25)
 
+    async def test_history_that_an_outage_has_cost_is_read_at_once(self):
+        """The store is back without the history, and the watch rests for seconds more."""
+        moments = []
+
+        async def watch_and_note(*arguments):
+            try:
+                return await type(self.client).watch(self.client, *arguments)
+            except HistoryError:
+                moments.append(now())
+                raise
+
+        async def read_and_note(*arguments):
+            moments.append(now())
+            return await type(self.client).read(self.client, *arguments)
+
+        self.client.watch = watch_and_note
+        self.client.read = read_and_note
+        copy = self.store.copy()
+        self.store.put(KEY, configuration(2, [], ["s"]))
+        await self.until(lambda: self.version == 2)
+        self.troubles.cut = True
+        self.store.come_back_from(copy)
+        await self.until(lambda: self.watch._failures > 2)
+        self.troubles.cut = False
+        await self.until(lambda: len(moments) > 1)
+        self.assertLess(moments[1] - moments[0], 0.25)
+
+    async def test_history_that_is_lost_again_and_again_is_not_read_without_end(self):
+        """The store drops its history at each reading, and is read thousands of times a second."""
+        self.client.watch = mock.AsyncMock(side_effect=HistoryError("gone"))
+        self.store.put(KEY, configuration(2, [], ["s"]))
+        await self.until(lambda: self.version == 2)
+        before = self.store.calls
+        await asyncio.sleep(2.0)
+        self.assertLessEqual(self.store.calls - before, 4)
+
     async def test_empty_answer_before_its_time_is_a_failure(self):
         calls = []
 
--- a/caperstack/platform/watch.py
+++ b/caperstack/platform/watch.py
@@ -53,6 +53,7 @@
         self._reader = reader
         self._revision = None
         self._history_lost = False
+        self._read_anew = False
         self._failures = 0
         self._task = None
 
@@ -76,10 +77,13 @@
                 continue
             try:
                 await self._watch_once()
+            except HistoryError as error:
+                self._revision = None
+                self._history_lost = True
+                # The store answers, so it is read at once; but only once in vain.
+                at_once, self._read_anew = not self._read_anew, True
+                await self._rest_after(error, at_once)
             except PlatformError as error:
-                if isinstance(error, HistoryError):
-                    self._revision = None
-                    self._history_lost = True
                 await self._rest_after(error)
 
     async def _watch_once(self):
@@ -92,6 +96,7 @@
         if self._failures:
             self._events.state("watch", "cut", "open", self._client.address)
         self._failures = 0
+        self._read_anew = False
         for change in changes.items:
             self._reader.take_change(change)
         self._revision = max(self._revision, changes.revision)
@@ -106,11 +111,12 @@
         self._history_lost = False
         return read.revision
 
-    async def _rest_after(self, error):
+    async def _rest_after(self, error, at_once=False):
         if not self._failures:
             self._events.state("watch", "open", str(error), self._client.address)
-            self._failures = 1
-            return
-        wait = min(RETRY_SECONDS_MOST, RETRY_SECONDS * 2 ** min(self._failures - 1, 4))
+            at_once = True
         self._failures += 1
+        if at_once:
+            return
+        wait = min(RETRY_SECONDS_MOST, RETRY_SECONDS * 2 ** min(self._failures - 2, 4))
         await asyncio.sleep(wait * random.uniform(0.7, 1.0))
