Log the rate limit and the leaving mark that a backend server states in its answers

What could not be told in the incident: whether and when an answer with a rate reached a node, and whether the health path states it too. Each answer is now read for both headers; a change of the rate is a state line with the old and the new rate, the instance and where it was stated, and the gauge server_rate_limit. A value that is no decimal number is logged once and ignored.

No decision depends on it yet: calls are admitted as before.

--- a/caperstack/admission/tracker.py
+++ b/caperstack/admission/tracker.py
@@ -5,6 +5,7 @@
 from caperstack.admission.cold import ColdLimit
 from caperstack.admission.gate import SlotGate
 from caperstack.admission.limit import CircuitBreaker, ServiceTimes
+from caperstack.admission.rate import RateLimit
 from caperstack.admission.slowdown import FIRST_READING_SECONDS, HostSlowdown
 from caperstack.admission.status import ServerStatus
 from caperstack.calls.model import Load, ServerState
@@ -30,6 +31,7 @@
         self._times = ServiceTimes()
         self._slowdown = HostSlowdown()
         self._cold = ColdLimit()
+        self._rate = RateLimit()
         self._gate = SlotGate(
             settings.slots, settings.slots_share, self._times, self._slowdown, self._cold
         )
@@ -88,6 +90,11 @@
         self._metrics = kernel.find("metrics")
         self._events = kernel.find("events")
         self._suspects = kernel.find("suspects")
+        self._metrics.gauge(
+            "server_rate_limit",
+            "requests per second that the backend server accepts, -1 without a limit",
+            lambda: -1 if self._rate.per_second is None else self._rate.per_second,
+        )
 
     def leave(self):
         """Refuse new calls permanently, since the node is stopping."""
@@ -132,6 +139,29 @@
         if instance and self._status.instance:
             self.set_state(self._status.set_ended(instance != self._status.instance))
 
+    def record_report(self, report):
+        """Record the rate limit that the backend server states in an answer.
+
+        Parameters
+        ----------
+        report : caperstack.calls.dialect.ServerReport
+            The statements in the headers of the answer.
+        """
+        if self._is_of_another_instance(report):
+            return
+        before = self._rate.per_second
+        if self._rate.update(report):
+            self._events.state(
+                "rate limit",
+                before,
+                self._rate.per_second,
+                instance=report.instance or self._status.instance,
+                stated_by="health path" if report.probed else "answer to a call",
+            )
+
+    def _is_of_another_instance(self, report):
+        return "" not in (report.instance, self.instance) and report.instance != self.instance
+
     def set_state(self, state):
         """Publish `state`; if it is a closed state, refuse waiting calls.
 
@@ -194,6 +224,7 @@
         self._times.restart()
         self._gate.restart()
         self._cold.restart()
+        self._rate.restart()
         self._client.restart()
         if self._refresh is not None:
             self._expect_reading()
--- a/caperstack/backend/client.py
+++ b/caperstack/backend/client.py
@@ -6,7 +6,7 @@
 from caperstack.addresses import split_address
 from caperstack.backend.connection import BackendConnection
 from caperstack.backend.reuse import ReusePolicy
-from caperstack.calls.dialect import Dialect, cold_seconds
+from caperstack.calls.dialect import MAX_UNREADABLE_CHARACTERS, Dialect, cold_seconds
 from caperstack.calls.headers import end_to_end
 from caperstack.calls.model import NotRun
 from caperstack.clock import deadline_after, now, time_left
@@ -30,9 +30,6 @@
 MISDIRECTED = 421
 HEALTHY = 200
 
-#: Length to which an unreadable header is cut before it is reported, in characters.
-MAX_UNREADABLE_CHARACTERS = 60
-
 
 @dataclass(frozen=True, slots=True)
 class ServerHealth:
--- a/caperstack/backend/connection.py
+++ b/caperstack/backend/connection.py
@@ -92,15 +92,13 @@
         self.complete = False
 
     def headers_received(self, start_line, headers):
-        """Store the head, and report the server's load without waiting for the body."""
+        """Store the head, and pass on the server's report without waiting for the body."""
         self.start = start_line
         self.headers = headers
         echoed = headers.get(self._dialect.request_id)
         self.stale = echoed is not None and echoed != self._request_id
         self.framed = "Content-Length" in headers or "Transfer-Encoding" in headers
-        report = ServerReport.read(headers, self._dialect)
-        if report is not None:
-            self._on_report(report)
+        self._on_report(ServerReport.read(headers, self._dialect, probed=not self._request_id))
 
     def data_received(self, chunk):
         """Collect a part of the body, up to the size limit."""
--- a/caperstack/backend/probe.py
+++ b/caperstack/backend/probe.py
@@ -58,6 +58,7 @@
         self._reported_at = 0.0
         self._refreshing = None
         self._readable = True
+        self._unreadable = {}
         self._task = None
 
     async def start(self, kernel):
@@ -76,11 +77,20 @@
 
     def _take_report(self, report):
         self._owner.note_instance(report.instance)
+        self._log_unreadable(report)
+        self._owner.record_report(report)
         if report.slots:
             self._reports_load = True
             self._reported_at = now()
             self._owner.set_slowdown(report.pace)
 
+    def _log_unreadable(self, report):
+        """Log each header that could not be parsed, once until its value changes."""
+        for header in report.unreadable:
+            if self._unreadable.get(header.name) != header.value:
+                self._unreadable[header.name] = header.value
+                self._events.log_state("foreign header", header=header.name, value=header.value)
+
     async def _probe_forever(self):
         while True:
             await self._probe()
--- a/caperstack/backend/tests/test_probe.py
+++ b/caperstack/backend/tests/test_probe.py
@@ -47,6 +47,7 @@
                 set_slowdown=lambda pace: None,
                 set_health=lambda state: None,
                 note_instance=lambda instance: None,
+                record_report=lambda report: None,
                 set_cold_remaining=lambda seconds: None,
             )
             services = {
--- a/caperstack/calls/dialect.py
+++ b/caperstack/calls/dialect.py
@@ -1,10 +1,11 @@
 """Header names and HTTP conventions of the callers and backend servers of a deployment."""
 
-from dataclasses import dataclass
+import re
+from dataclasses import dataclass, field
 
 from caperstack.calls.headers import REQUEST_ID, TIME_LEFT
 
-__all__ = ["Dialect", "ServerReport", "cold_seconds"]
+__all__ = ["Dialect", "ServerReport", "UnreadableHeader", "cold_seconds"]
 
 #: Longest time for which one response can declare its server cold, in seconds.
 MAX_COLD_SECONDS = 3600.0
@@ -13,6 +14,15 @@
 #: leading zeros exceeds `MAX_COLD_SECONDS` in any case.
 MAX_COLD_DIGITS = 9
 
+#: The permitted rates in the rate limit header: a plain decimal number without a sign.
+RATE_PATTERN = re.compile(r"[0-9]{1,15}(\.[0-9]{0,15})?|\.[0-9]{1,15}")
+
+#: The value of the leaving header of a server that is leaving.
+LEAVING = "1"
+
+#: Length to which an unreadable header is cut before it is reported, in characters.
+MAX_UNREADABLE_CHARACTERS = 60
+
 
 @dataclass(frozen=True, slots=True)
 class Dialect:
@@ -40,6 +50,10 @@
         separated by commas.
     cold : str
         Milliseconds for which the server stays cold, in responses of its health path.
+    rate_limit : str
+        Requests per second that the server accepts from all hosts together.
+    leaving : str
+        Marks each response of a server that is leaving.
     traces : bool
         Whether the node adds ``Traceparent``, ``Forwarded`` and the call depth.
     ends_with_connection : bool
@@ -58,6 +72,8 @@
     not_executed: str = ""
     load: str = ""
     cold: str = ""
+    rate_limit: str = ""
+    leaving: str = ""
     traces: bool = True
     ends_with_connection: bool = False
     fractional_seconds: bool = False
@@ -91,9 +107,17 @@
     return min(int(text[:MAX_COLD_DIGITS]) / 1000, MAX_COLD_SECONDS)
 
 
+@dataclass(frozen=True, slots=True)
+class UnreadableHeader:
+    """A header of a response that the dialect defines but whose value has no meaning there."""
+
+    name: str
+    value: str
+
+
 @dataclass(slots=True)
 class ServerReport:
-    """Instance and load that a backend server reports in the headers of a response.
+    """What a backend server reports about itself in the headers of a response.
 
     Attributes
     ----------
@@ -104,6 +128,17 @@
         is not reported.
     pace : float
         Slowdown: current service time relative to the nominal one.
+    states_rate_limit : bool
+        Whether the response states a rate limit, readable or not.
+    rate_limit : float or None
+        Requests per second that the server accepts from all hosts together; ``None`` if
+        it is not stated or not readable.
+    leaving : bool
+        Whether the server states that it is leaving.
+    probed : bool
+        Whether the response is one of the health path.
+    unreadable : list of UnreadableHeader
+        Rate limit and leaving headers whose values could not be parsed.
     """
 
     instance: str = ""
@@ -111,15 +146,55 @@
     waiting: int = 0
     slots: int = 0
     pace: float = 1.0
+    states_rate_limit: bool = False
+    rate_limit: float | None = None
+    leaving: bool = False
+    probed: bool = False
+    unreadable: list = field(default_factory=list)
 
     @classmethod
-    def read(cls, headers, dialect):
-        """Return the report in response `headers`; ``None`` if they contain none."""
-        instance = headers.get(dialect.instance, "") if dialect.instance else ""
-        text = headers.get(dialect.load, "") if dialect.load else ""
+    def read(cls, headers, dialect, probed=False):
+        """Return the report in response `headers`.
+
+        Parameters
+        ----------
+        headers : tornado.httputil.HTTPHeaders
+            Headers of the response.
+        dialect : Dialect
+            Gives the names of the headers.
+        probed : bool
+            Whether the response is one of the health path.
+        """
+        report = cls(_value(headers, dialect.instance), probed=probed)
+        report._read_load(_value(headers, dialect.load))
+        report._read_rate_limit(_value(headers, dialect.rate_limit), dialect)
+        report._read_leaving(_value(headers, dialect.leaving), dialect)
+        return report
+
+    def _read_load(self, text):
         figures = [figure.strip() for figure in text.split(",")]
         if len(figures) < 3 or not all(figure.isdigit() for figure in figures):
-            return cls(instance) if instance else None
-        running, waiting, slots = (int(figure) for figure in figures[:3])
+            return
+        self.running, self.waiting, self.slots = (int(figure) for figure in figures[:3])
         percent = int(figures[3]) if len(figures) > 3 else 100
-        return cls(instance, running, waiting, slots, max(percent, 1) / 100)
+        self.pace = max(percent, 1) / 100
+
+    def _read_rate_limit(self, text, dialect):
+        self.states_rate_limit = bool(text)
+        if RATE_PATTERN.fullmatch(text):
+            self.rate_limit = float(text)
+        elif text:
+            self._add_unreadable(dialect.rate_limit, text)
+
+    def _read_leaving(self, text, dialect):
+        self.leaving = text == LEAVING
+        if text and not self.leaving:
+            self._add_unreadable(dialect.leaving, text)
+
+    def _add_unreadable(self, name, text):
+        self.unreadable.append(UnreadableHeader(name, text[:MAX_UNREADABLE_CHARACTERS]))
+
+
+def _value(headers, name):
+    """Return the value of the header `name`; empty if it is absent or has no name."""
+    return headers.get(name, "").strip() if name else ""
--- a/caperstack/events/ring.py
+++ b/caperstack/events/ring.py
@@ -115,11 +115,11 @@
         )
         self._ring.append(event)
 
-    def state(self, subject, old, new, peer=""):
-        """Record a state change of `subject`, in the ring and in the log."""
+    def state(self, subject, old, new, peer="", **inputs):
+        """Record a state change of `subject`, in the ring and in the log with its `inputs`."""
         where = f" of {peer}" if peer else ""
         self.add("state", f"{subject}{where}: {old} -> {new}")
-        self._log.state("state", subject=subject, peer=peer, old=str(old), new=str(new))
+        self._log.state("state", subject=subject, peer=peer, old=str(old), new=str(new), **inputs)
 
     def decision(self, step, call, **inputs):
         """Log a decision on `call`, with the inputs that led to it."""
--- a/caperstack/platform/names.py
+++ b/caperstack/platform/names.py
@@ -47,6 +47,9 @@
     not_executed="X-Not-Executed",
     load="X-Server-Load",
     cold="X-Cold-Ms",
+    # Requests per second from all hosts together, as long as responses state it.
+    rate_limit="Server-Limit",
+    leaving="Server-Leaving",
     traces=False,
     ends_with_connection=True,
     fractional_seconds=True,
--- a/caperstack/platform/standin/instance.py
+++ b/caperstack/platform/standin/instance.py
@@ -13,6 +13,8 @@
 
 __all__ = ["Behaviour", "Run", "StandinInstance"]
 
+HEALTH_PATH = "/health"
+
 
 @dataclass
 class Behaviour:
@@ -50,6 +52,12 @@
     cold_bears : float
         Requests per second that the server tolerates while it is cold; more crash it.
         0 for no limit.
+    rate_limit : str
+        Stated in every response as the rate limit, if not empty.
+    health_states_limit : bool
+        Whether responses of the health path state the rate limit too.
+    leaving : str
+        Stated in every response as the leaving mark, if not empty.
     body : bytes
         Body of the responses to requests that ran.
     """
@@ -68,6 +76,9 @@
     cold_until: float = 0.0
     cold_text: str = ""
     cold_bears: float = 0.0
+    rate_limit: str = ""
+    health_states_limit: bool = True
+    leaving: str = ""
     body: bytes = b"whole answer"
 
 
@@ -166,7 +177,7 @@
         request.connection.set_close_callback(task.cancel)
 
     async def _handle(self, request):
-        if request.path == "/health":
+        if request.path == HEALTH_PATH:
             milliseconds = max(0, round(time_left(self.behaviour.cold_until) * 1000))
             text = self.behaviour.cold_text or (str(milliseconds) if milliseconds else "")
             headers = {DIALECT.cold: text} if text else {}
@@ -238,11 +249,18 @@
         headers[DIALECT.instance] = self.name
         percent = round(self.behaviour.pace * 100)
         headers[DIALECT.load] = f"{self.running},0,{self.slots},{percent}"
+        if self.behaviour.rate_limit and self._states_limit(request):
+            headers[DIALECT.rate_limit] = self.behaviour.rate_limit
+        if self.behaviour.leaving:
+            headers[DIALECT.leaving] = self.behaviour.leaving
         request_id = request.headers.get(DIALECT.request_id)
         if request_id:
             headers[DIALECT.request_id] = request_id
         return headers
 
+    def _states_limit(self, request):
+        return self.behaviour.health_states_limit or request.path != HEALTH_PATH
+
     def _write(self, request, status, body, more):
         headers = self._headers(request, more)
         headers["Content-Length"] = str(len(body))
