--- a/caperstack/platform/tests/fleetcase.py
+++ b/caperstack/platform/tests/fleetcase.py
@@ -1,7 +1,9 @@
 """Base class of tests with real nodes: a fleet of three hosts on the platform's stand-ins."""
 
+import asyncio
 import unittest
 
+from caperstack.clock import now
 from caperstack.platform.standin.fleet import PlatformFleet, route_row
 
 __all__ = ["ROUTES", "FleetCase"]
@@ -31,3 +33,14 @@
 
     async def until(self, condition, what="condition"):
         await self.fleet.until(condition, what)
+
+    async def send_stream(self, path, per_second, seconds, hosts=None, **options):
+        """Send requests at a constant rate to `hosts`, or all, in turn; return the responses."""
+        hosts = hosts or self.fleet.hosts
+        tasks = []
+        until = now() + seconds
+        while now() < until:
+            host = hosts[len(tasks) % len(hosts)]
+            tasks.append(asyncio.create_task(self.fleet.ask(host, path, **options)))
+            await asyncio.sleep(1.0 / per_second)
+        return [reply for _, reply in await asyncio.gather(*tasks)]
--- a/caperstack/platform/tests/test_statements.py
+++ b/caperstack/platform/tests/test_statements.py
@@ -1,5 +1,8 @@
 """What backend servers state about themselves in their answers, with real nodes."""
 
+import asyncio
+
+from caperstack.clock import now
 from caperstack.platform.names import DIALECT
 from caperstack.platform.tests.fleetcase import FleetCase
 
@@ -43,3 +46,104 @@
         for host in self.fleet.hosts:
             headers = sorted(line["header"] for line in host.node.lines("foreign header"))
             self.assertEqual(headers, sorted([DIALECT.rate_limit, DIALECT.leaving]))
+
+
+class TestRateLimit(FleetCase):
+    """The rate that a backend server accepts from all hosts together."""
+
+    #: Length of the windows in which requests are counted, in seconds.
+    window_seconds = 4.0
+
+    #: Time within which a stated rate must be in force on all hosts, and within which a
+    #: server must get calls again once it has withdrawn its rate, in seconds.
+    known_seconds = 0.5
+    used_again_seconds = 2.0
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        for host in self.fleet.hosts:
+            host.instance.behaviour.seconds = 0.03
+
+    def state_rate(self, host, rate):
+        """Make the server state `rate`, or none if it is empty; return when it is in force."""
+        host.instance.behaviour.rate_limit = rate
+        return now() + self.known_seconds
+
+    def most_runs(self, host, since):
+        """Return the highest number of runs in any window that begins after `since`."""
+        times = [run.at for run in host.instance.ledger if run.at >= since]
+        return max(
+            (sum(first <= at < first + self.window_seconds for at in times) for first in times),
+            default=0,
+        )
+
+    def assert_rate_kept(self, host, rate, since):
+        allowed = 1.5 * rate * self.window_seconds + 5
+        self.assertLessEqual(self.most_runs(host, since), allowed)
+
+    async def test_limited_server_gets_its_rate_and_the_others_take_the_rest(self):
+        """Guards against a server that gets its usual share of calls whatever rate it states."""
+        in_force = self.state_rate(self.first, "5.3")
+        replies = await self.send_stream("/list/", 60, 5.0)
+        self.assert_rate_kept(self.first, 5.3, in_force)
+        self.assertGreaterEqual(self.most_runs(self.first, in_force), 10)
+        self.assertEqual({reply.code for reply in replies}, {200})
+
+    async def test_rate_below_one_a_second_is_kept_and_bookings_run_elsewhere(self):
+        """Guards against a low rate that is rounded to one call a second, or to none."""
+        in_force = self.state_rate(self.first, "0.4")
+        replies = await self.send_stream("/book/", 40, 5.0, method="POST")
+        self.assertLessEqual(self.most_runs(self.first, in_force), 4)
+        self.assertGreaterEqual(self.most_runs(self.first, in_force), 1)
+        self.assertEqual({reply.code for reply in replies}, {200})
+
+    async def test_service_of_limited_servers_refuses_the_rest_at_once(self):
+        """Guards against callers that wait for a limited server until their deadline."""
+        in_force = self.state_rate(self.third, "4")
+        replies = await self.send_stream("/rates/", 40, 5.0)
+        refused = [reply for reply in replies if reply.code == 503]
+        self.assert_rate_kept(self.third, 4.0, in_force)
+        self.assertEqual({reply.code for reply in replies}, {200, 503})
+        self.assertGreaterEqual(len(replies) - len(refused), 15)
+        self.assertTrue(all(float(reply.headers["Retry-After"]) > 0 for reply in refused))
+        self.assertLess(sorted(r.request_time for r in refused)[len(refused) // 2], 0.2)
+
+    async def test_restarted_node_keeps_the_rate_of_its_server(self):
+        """Guards against a node that starts and sends at full rate what its peers still limit."""
+        in_force = self.state_rate(self.third, "3")
+        for _ in range(2):
+            await self.send_stream("/rates/", 40, 1.5, self.fleet.hosts[:2])
+            self.third.node.kill()
+            self.fleet.start_node(self.third)
+            await self.until(lambda: self.fleet.ready(self.third), "ready")
+        await self.send_stream("/rates/", 40, 2.0, self.fleet.hosts[:2])
+        self.assert_rate_kept(self.third, 3.0, in_force)
+
+    async def test_rate_is_kept_while_answers_are_lost(self):
+        """Guards against a rate that is learnt from answers to calls only."""
+        self.third.instance.behaviour.lose_answers = True
+        in_force = self.state_rate(self.third, "2")
+        await self.send_stream("/rates/", 30, 5.0)
+        self.assert_rate_kept(self.third, 2.0, in_force)
+
+    async def test_withdrawn_rate_no_longer_limits(self):
+        """Guards against a server that stays without calls once it has withdrawn a low rate."""
+        self.state_rate(self.third, "0.2")
+        await self.send_stream("/rates/", 40, 2.0)
+        self.state_rate(self.third, "")
+        await asyncio.sleep(self.used_again_seconds)
+        replies = await self.send_stream("/rates/", 40, 1.0)
+        self.assertEqual({reply.code for reply in replies}, {200})
+
+    async def test_new_instance_at_the_address_is_not_limited(self):
+        """Guards against a rate that outlives the server that has stated it."""
+        self.state_rate(self.third, "0.2")
+        await self.send_stream("/rates/", 40, 1.0)
+        self.fleet.crash(self.third)
+        self.state_rate(self.third, "")
+
+        async def serves():
+            replies = await self.send_stream("/rates/", 40, 0.5)
+            return {reply.code for reply in replies} == {200}
+
+        await self.until(serves, "the new instance serves every call")
--- a/caperstack/platform/tests/test_zones.py
+++ b/caperstack/platform/tests/test_zones.py
@@ -112,16 +112,6 @@
         behaviour.cold_until = now() + seconds
         behaviour.cold_bears = self.tolerated_per_second
 
-    async def send_stream(self, path, per_second, seconds):
-        """Send requests at a constant rate to all nodes in turn and return the responses."""
-        tasks = []
-        until = now() + seconds
-        while now() < until:
-            host = self.fleet.hosts[len(tasks) % 3]
-            tasks.append(asyncio.create_task(self.fleet.ask(host, path)))
-            await asyncio.sleep(1.0 / per_second)
-        return [reply for _, reply in await asyncio.gather(*tasks)]
-
     async def test_calls_move_from_a_server_that_turns_cold_to_the_warm_one(self):
         """Guards against a server that turns cold under load, keeps its share and crashes."""
         self.second.instance.behaviour.seconds = 0.03
