Owners keep the rate limit that their backend server states

Cause: the header was forwarded like any other and read by no decision. Class: a limit that a backend server announces while it runs, beside those of its entry in the store, has no place in admission. Ruled out: a rate that each host applies by itself (one process, the owner, sends all calls to a server); a rate that is learnt late (nodes logged it within 0.1 s in the failing tests).

Change: the owner counts starts against the stated rate (generic cell rate algorithm, half a second of burst). Why it holds: all calls to a server pass through its owner, so one process keeps the rate for all hosts; a limit begins with an empty burst, so a node that starts cannot repeat what its predecessor sent; the health path states the rate again before the first call; the rate goes with the instance, and a rate that is withdrawn, raised or lowered applies to waiting calls at once. Calls that the rate cannot admit in time are refused at once and go to other servers; where none is left, Retry-After is the turn of the caller, each refused caller getting an interval of its own. A more urgent call goes first, and a call that it makes too late is refused then and not at its last start. A call that is not sent after all gives its start back. Concurrency is not learnt from calls that waited for the rate.

--- a/caperstack/admission/gate.py
+++ b/caperstack/admission/gate.py
@@ -7,7 +7,7 @@
 from caperstack.admission.limit import AdaptiveLimit
 from caperstack.admission.queue import AdmissionQueue
 from caperstack.calls.model import SLOW_PHASE_LEFT_SECONDS, NotRun
-from caperstack.clock import now, time_left
+from caperstack.clock import deadline_after, now, time_left
 
 __all__ = ["SlotGate"]
 
@@ -30,6 +30,9 @@
 #: phase of the host began between two readings of its slowdown.
 MAX_TIME_RATIO = 3.0
 
+#: Reason for the refusal of calls that a stated rate limit cannot admit in time.
+RATE_LIMIT_REASON = "backend server limits its requests"
+
 #: Queued calls per slot. This bounds memory only; in practice the queue stays shorter,
 #: since calls that cannot finish in time are refused.
 QUEUE_PER_SLOT = 16
@@ -48,16 +51,17 @@
         Service times of the backend server.
     slowdown : caperstack.admission.slowdown.HostSlowdown
         Current slowdown of the host.
-    cold : caperstack.admission.cold.ColdLimit
-        Rate limit for starts while the server is cold.
+    starts : caperstack.admission.starts.StartLimits
+        Limits on the rate of starts.
     """
 
-    def __init__(self, slots, share, times, slowdown, cold):
+    def __init__(self, slots, share, times, slowdown, starts):
         self._share = share
         self._times = times
         self._slowdown = slowdown
-        self._cold = cold
+        self._starts = starts
         self._wakeup = None
+        self._wake_at = 0.0
         self._slots = slots
         self._knee = Knee(slots, self._initial_limit(slots))
         self._limit = AdaptiveLimit(self._knee.limit, times)
@@ -80,12 +84,10 @@
 
         Notes
         -----
-        While the rate limit for a cold server lets no further call start, the limit is lowered
-        to the number of running calls, but not below 1.
+        The limit is lowered to the number of running calls and of those that the limits on
+        the rate of starts admit now, but not below 1.
         """
-        if self._cold.wait() > 0:
-            return max(1, min(self._running, self._limit.limit))
-        return self._limit.limit
+        return max(1, min(self._running + self._starts.available, self._limit.limit))
 
     def _initial_limit(self, slots):
         # Rounded down, since one call more than the share allows slows all of them.
@@ -135,11 +137,11 @@
     def _may_start(self, call):
         if self._running >= self._limit.limit or len(self._queue):
             return False
-        return not self._defers(call) and not self._cold.wait()
+        return not self._defers(call) and not self._starts.wait()
 
     def _take_slot(self):
         self._running += 1
-        self._cold.record_start()
+        self._starts.record_start()
 
     def _defers(self, call):
         """Return whether to hold `call` back until the host's slow phase is over.
@@ -167,13 +169,18 @@
     async def _wait_for_slot(self, call, on_wait):
         service_seconds = self._expected_seconds(call)
         self._queue.short_seconds = SHORT_CALL_SHARE * self._slot_holding_seconds
-        wait = self._expected_wait(call, service_seconds)
+        ahead = self._queue.ahead_of(call, service_seconds)
+        wait = self._expected_wait(ahead)
         last_start = self._last_start(call, service_seconds)
+        rate_wait = self._starts.rate.wait(ahead)
+        if rate_wait and now() + rate_wait > last_start:
+            return self._rate_refusal(call, service_seconds)
         if now() + wait > last_start:
             return NotRun("no slot in time", self._retry_after(call, service_seconds, wait))
         if self._queue.full and not self._queue.evict_for(call, service_seconds):
             return NotRun("queue is full", wait)
-        waiter = self._queue.add(call, service_seconds)
+        waiter = self._queue.add(call, service_seconds, last_start)
+        self._refuse_beyond_rate()
         # If all calls ahead are deferred, a slot may be free in which a short call can start.
         self.start_waiting()
         on_wait(wait)
@@ -185,8 +192,38 @@
         except asyncio.CancelledError:
             self._cancel_wait(waiter)
             raise
+        if reason == RATE_LIMIT_REASON:
+            return self._rate_refusal(call, service_seconds)
         return NotRun(reason, wait) if reason else None
 
+    def _refuse_beyond_rate(self):
+        """Refuse the waiting calls whose turn under the stated rate comes too late.
+
+        Notes
+        -----
+        A more urgent call that arrives moves the turns of all that rank behind it.  Those
+        that it makes too late would otherwise wait in vain until their last start.
+        """
+        if not self._starts.rate.active:
+            return
+        ahead = 0
+        for waiter in self._queue.ranked():
+            if now() + self._starts.rate.wait(ahead) > waiter.last_start:
+                self._queue.refuse(waiter, RATE_LIMIT_REASON)
+            else:
+                ahead += 1
+
+    def _rate_refusal(self, call, service_seconds):
+        wait = self._starts.rate.wait(self._queue.ahead_of(call, service_seconds))
+        if call.last:
+            wait = self._starts.rate.return_delay(wait, call.deadline - service_seconds)
+        return NotRun(RATE_LIMIT_REASON, wait)
+
+    def apply_rate(self):
+        """Apply a changed rate limit to the waiting calls."""
+        self._refuse_beyond_rate()
+        self.start_waiting()
+
     @property
     def _slot_holding_seconds(self):
         """Slot-weighted median service time at the host's baseline, in seconds."""
@@ -240,32 +277,40 @@
         # the wait timed out or was cancelled; it would leak if it were not released here.
         if waiter.admitted.done() and not waiter.admitted.cancelled():
             if waiter.admitted.result() == "":
-                self.release()
+                self.release(sent=False)
         else:
             waiter.admitted.cancel()
 
-    def _expected_wait(self, call, service_seconds):
+    def _expected_wait(self, ahead):
+        """Return the expected wait of a call with `ahead` calls ahead of it, in seconds."""
         # While the host is in a slow phase, calls are deferred and slots stay free. All calls
         # that arrive meanwhile share these slots once the phase ends.
         free = self._limit.limit - self._running
-        before = self._queue.ahead_of(call, service_seconds)
-        ahead = max(0, before + 1 - free)
+        without_slot = max(0, ahead + 1 - free)
         # The first reading of the slowdown arrives much sooner than a slow phase ends.
         slow_phase = free > 0 and not self._slowdown.awaiting_reading
         wait = SLOW_PHASE_LEFT_SECONDS if slow_phase else 0.0
-        wait += ahead * self._times.recent * self._slowdown.baseline / self._limit.limit
-        return max(wait, self._cold.wait(before))
+        wait += without_slot * self._times.recent * self._slowdown.baseline / self._limit.limit
+        return max(wait, self._starts.wait(ahead))
+
+    def release(self, sent=True):
+        """Release a slot and start waiting calls.
 
-    def release(self):
-        """Release a slot and start waiting calls."""
+        Parameters
+        ----------
+        sent : bool
+            Whether the call was sent to the backend server.
+        """
         self._running -= 1
+        if not sent:
+            self._starts.cancel_start()
         self.start_waiting()
 
     def start_waiting(self):
         """Start waiting calls as far as the limits and the host's slowdown allow."""
         self._limit.adjust()
         while self._running < self._allowed() and len(self._queue):
-            wait = self._cold.wait()
+            wait = self._starts.wait()
             if wait > 0:
                 self._wake_after(wait)
                 return
@@ -273,14 +318,20 @@
             if call is None:
                 return
             self._take_slot()
-            # The best concurrency is learnt only under overload, while further calls wait.
-            if len(self._queue):
+            # The best concurrency is learnt only under overload, while further calls wait
+            # for a slot rather than for the stated rate.
+            if len(self._queue) and not self._starts.rate.active:
                 call.running_at_start = self._running
                 self._knee.record_start()
 
     def _wake_after(self, seconds):
-        if self._wakeup is None:
-            self._wakeup = asyncio.get_running_loop().call_later(seconds, self._wake)
+        wake_at = deadline_after(seconds)
+        if self._wakeup is not None:
+            if self._wake_at <= wake_at:
+                return
+            self._wakeup.cancel()
+        self._wake_at = wake_at
+        self._wakeup = asyncio.get_running_loop().call_later(seconds, self._wake)
 
     def _wake(self):
         self._wakeup = None
--- a/caperstack/admission/owner.py
+++ b/caperstack/admission/owner.py
@@ -129,7 +129,7 @@
             record.dispatched = True
             return await self._execution.run(call)
         finally:
-            self._gate.release()
+            self._gate.release(sent=record.dispatched)
 
     async def _fetch_body(self, call):
         """Fetch the body that the entry withheld; return a `NotRun` if that fails."""
--- a/caperstack/admission/queue.py
+++ b/caperstack/admission/queue.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 from dataclasses import dataclass
 
 from caperstack.clock import now
@@ -21,6 +22,8 @@
         Order of arrival.
     service_seconds : float
         Expected service time in seconds.
+    last_start : float
+        Time until which the call waits.
     admitted : asyncio.Future
         Resolves to ``""`` once the call holds a slot, or to the reason of its refusal.
     """
@@ -28,6 +31,7 @@
     call: object
     sequence: int
     service_seconds: float
+    last_start: float
     admitted: asyncio.Future
 
     @property
@@ -93,10 +97,20 @@
         """Set the capacity; calls that already wait stay."""
         self._capacity = capacity
 
-    def add(self, call, service_seconds=0.0):
-        """Enqueue `call`, expected to run for `service_seconds`, and return its `Waiter`."""
+    def add(self, call, service_seconds=0.0, last_start=math.inf):
+        """Enqueue `call` and return its `Waiter`.
+
+        Parameters
+        ----------
+        call : caperstack.calls.model.Call
+            The call.
+        service_seconds : float, optional
+            Expected service time in seconds.
+        last_start : float, optional
+            Time until which the call waits.
+        """
         future = asyncio.get_running_loop().create_future()
-        waiter = Waiter(call, next(self._sequence), service_seconds, future)
+        waiter = Waiter(call, next(self._sequence), service_seconds, last_start, future)
         future.add_done_callback(lambda _: self._waiters.discard(waiter))
         self._waiters.add(waiter)
         return waiter
@@ -104,13 +118,20 @@
     def ahead_of(self, call, service_seconds=0.0):
         """Return the number of waiting calls that would start before `call`."""
         moment = now()
-        mine = Waiter(call, next(self._sequence), service_seconds, None).rank(
-            moment, self.short_seconds
-        )
+        mine = self._rank_on_arrival(call, service_seconds, moment)
         return sum(
             1 for waiter in self._pending() if waiter.rank(moment, self.short_seconds) < mine
         )
 
+    def _rank_on_arrival(self, call, service_seconds, moment):
+        arriving = Waiter(call, next(self._sequence), service_seconds, math.inf, None)
+        return arriving.rank(moment, self.short_seconds)
+
+    def ranked(self):
+        """Return the waiting calls as a list of `Waiter`, in the order of their starts."""
+        moment = now()
+        return sorted(self._pending(), key=lambda waiter: waiter.rank(moment, self.short_seconds))
+
     def _pending(self):
         return [waiter for waiter in self._waiters if not waiter.admitted.done()]
 
@@ -149,14 +170,16 @@
             key=lambda waiter: waiter.rank(moment, self.short_seconds),
             default=None,
         )
-        mine = Waiter(call, next(self._sequence), service_seconds, None).rank(
-            moment, self.short_seconds
-        )
+        mine = self._rank_on_arrival(call, service_seconds, moment)
         if last is None or last.rank(moment, self.short_seconds)[:2] <= mine[:2]:
             return False
         self._resolve(last, "displaced by a more urgent call")
         return True
 
+    def refuse(self, waiter, reason):
+        """Refuse one waiting call with `reason`."""
+        self._resolve(waiter, reason)
+
     def refuse_all(self, reason):
         """Refuse every waiting call with `reason`."""
         for waiter in self._pending():
--- a/caperstack/admission/tracker.py
+++ b/caperstack/admission/tracker.py
@@ -7,6 +7,7 @@
 from caperstack.admission.limit import CircuitBreaker, ServiceTimes
 from caperstack.admission.rate import RateLimit
 from caperstack.admission.slowdown import FIRST_READING_SECONDS, HostSlowdown
+from caperstack.admission.starts import StartLimits
 from caperstack.admission.status import ServerStatus
 from caperstack.calls.model import Load, ServerState
 from caperstack.quarantine.crash import CrashDetector
@@ -33,7 +34,11 @@
         self._cold = ColdLimit()
         self._rate = RateLimit()
         self._gate = SlotGate(
-            settings.slots, settings.slots_share, self._times, self._slowdown, self._cold
+            settings.slots,
+            settings.slots_share,
+            self._times,
+            self._slowdown,
+            StartLimits(self._cold, self._rate),
         )
         self._status = ServerStatus()
         self._listeners = []
@@ -158,6 +163,7 @@
                 instance=report.instance or self._status.instance,
                 stated_by="health path" if report.probed else "answer to a call",
             )
+            self._gate.apply_rate()
 
     def _is_of_another_instance(self, report):
         return "" not in (report.instance, self.instance) and report.instance != self.instance
--- a/caperstack/play/policies.py
+++ b/caperstack/play/policies.py
@@ -28,6 +28,10 @@
     return 0.0
 
 
+def _wait_alone(_limit, wait, _latest_start):
+    return wait
+
+
 def _limit_without_trials(knee):
     return knee.limit
 
@@ -86,6 +90,18 @@
         "load_aware",
         {"caperstack.admission.cold.ColdLimit.resize": _keep_unlimited},
     ),
+    "stated rates ignored": (
+        "load_aware",
+        {"caperstack.admission.rate.RateLimit.update": _always_false},
+    ),
+    "returns under a rate not spread": (
+        "load_aware",
+        {"caperstack.admission.rate.RateLimit.return_delay": _wait_alone},
+    ),
+    "late turns under a rate wait": (
+        "load_aware",
+        {f"{_GATE}.SlotGate._refuse_beyond_rate": _keep_limit},
+    ),
     "limit does not adapt": ("load_aware", {f"{_LIMIT}.AdaptiveLimit.adjust": _keep_limit}),
     "slow servers are not doubted": ("load_aware", {f"{_LIMIT}.PROBE_THRESHOLD": 1e9}),
     "failing servers are not gated": ("load_aware", {f"{_LIMIT}.OPEN_FAILURE_SHARE": 2.0}),
--- a/caperstack/play/scenario.py
+++ b/caperstack/play/scenario.py
@@ -75,11 +75,12 @@
     ``service`` cold. ``evacuate`` keeps new calls away from ``zone`` for ``seconds``;
     its servers are cold afterwards. For ``seconds``, ``count`` servers of ``service``
     take ``factor`` times as long (``slow``), refuse a ``share`` of their calls without
-    running them (``shed``), or run that share and then answer with an error (``fail``).
+    running them (``shed``), run that share and then answer with an error (``fail``), or
+    state in their answers that they accept ``factor`` calls per second (``limit``).
     """
 
     at: float = Field(ge=0)
-    what: Literal["burst", "lose", "restart", "chill", "evacuate", "slow", "shed", "fail"]
+    what: Literal["burst", "lose", "restart", "chill", "evacuate", "slow", "shed", "fail", "limit"]
     seconds: float = Field(1.0, gt=0)
     factor: float = Field(1.5, gt=0)
     share: float = Field(0.5, gt=0, le=1)
@@ -90,7 +91,7 @@
     @property
     def affects_servers(self):
         """Whether the event affects servers of one service."""
-        return self.what in ("lose", "chill", "slow", "shed", "fail")
+        return self.what in ("lose", "chill", "slow", "shed", "fail", "limit")
 
 
 class Scenario(_Model):
--- a/caperstack/play/server.py
+++ b/caperstack/play/server.py
@@ -103,17 +103,21 @@
         """Report the load and return the health of the server."""
         if self.is_down:
             raise BackendError("no connection", step="connect", sent=False)
-        self._send_report()
+        self._send_report(probed=True)
         return ServerHealth(True, max(0.0, time_left(self._cold_until)))
 
     async def listens(self, _deadline):
         """Return whether the server accepts connections."""
         return not self.is_down
 
-    def _send_report(self):
+    def _send_report(self, probed=False):
         report = ServerReport(
             "", self.running, len(self._waiting), self._service.slots, self.slowdown
         )
+        report.probed = probed
+        if self.fault is not None and self.fault.what == "limit":
+            report.states_rate_limit = True
+            report.rate_limit = self.fault.factor
         self._on_report(report)
 
     async def fetch(self, call, _instance=""):
