Expect a slow phase of the host only where a call would be deferred for one

What callers saw: where calls wait for the rate that a server states (or for a cold server), every call was refused with 'no slot in time' although its turn came in time, so hardly any waited, urgent ones did not come first, and a payment fared no better than a lookup. Cause: the expected wait of a call that finds a free slot and does not start counted the rest of a slow phase, 0.2 s, since a slow phase was once the only reason for that. Change: it counts only if the call would be deferred for a slow phase.

--- a/caperstack/admission/gate.py
+++ b/caperstack/admission/gate.py
@@ -170,7 +170,7 @@
         service_seconds = self._expected_seconds(call)
         self._queue.short_seconds = SHORT_CALL_SHARE * self._slot_holding_seconds
         ahead = self._queue.ahead_of(call, service_seconds)
-        wait = self._expected_wait(ahead)
+        wait = self._expected_wait(call, ahead)
         last_start = self._last_start(call, service_seconds)
         rate_wait = self._starts.rate.wait(ahead)
         if rate_wait and now() + rate_wait > last_start:
@@ -281,14 +281,15 @@
         else:
             waiter.admitted.cancel()
 
-    def _expected_wait(self, ahead):
-        """Return the expected wait of a call with `ahead` calls ahead of it, in seconds."""
+    def _expected_wait(self, call, ahead):
+        """Return the expected wait of `call` with `ahead` calls ahead of it, in seconds."""
         # While the host is in a slow phase, calls are deferred and slots stay free. All calls
         # that arrive meanwhile share these slots once the phase ends.
         free = self._limit.limit - self._running
         without_slot = max(0, ahead + 1 - free)
         # The first reading of the slowdown arrives much sooner than a slow phase ends.
-        slow_phase = free > 0 and not self._slowdown.awaiting_reading
+        awaiting_reading = self._slowdown.awaiting_reading
+        slow_phase = free > 0 and not awaiting_reading and self._defers(call)
         wait = SLOW_PHASE_LEFT_SECONDS if slow_phase else 0.0
         wait += without_slot * self._times.recent * self._slowdown.baseline / self._limit.limit
         return max(wait, self._starts.wait(ahead))
--- a/caperstack/admission/tests/test_rate.py
+++ b/caperstack/admission/tests/test_rate.py
@@ -285,6 +285,16 @@
 
         self.run_owner(work)
 
+    def test_call_waits_for_a_turn_that_comes_in_time(self):
+        """Guards against calls refused for a slow phase of the host while there is none."""
+
+        async def work(owner, _server):
+            owner.record_report(stating(20.0))
+            outcome = await owner.run(self.call("in time", objective=0.2))
+            self.assertIsInstance(outcome, Answered)
+
+        self.run_owner(work)
+
     def test_waiting_call_starts_as_soon_as_the_rate_is_withdrawn(self):
         async def work(owner, _server):
             owner.record_report(stating(0.2, probed=True))
