A server that states in its answers that it leaves gets no new calls

What callers would see: calls to a server that ends. The entry in the store was the only sign of a drain, and some servers never write it. Change: the owner takes the mark for a drain of this run of the server, at once and for good; later answers and the list do not lift it, another run does. Load reports carry the run that leaves, and entries remember it beside the member: a node that restarts has not heard it yet, and an entry is bound by what it passed on. Running calls complete; waiting ones are refused and move. Ruled out: lifting the mark when an answer comes without it; a late answer would bring the server back.

--- a/caperstack/admission/status.py
+++ b/caperstack/admission/status.py
@@ -1,6 +1,6 @@
 """State of a backend server, from its list entry, its health checks and its answers."""
 
-from caperstack.calls.model import ServerState
+from caperstack.calls.model import ServerState, run_id
 from caperstack.clock import deadline_after, now
 
 __all__ = ["ServerStatus"]
@@ -37,6 +37,7 @@
         self._listed = True
         self._evacuated = False
         self._ended = False
+        self._leaving_run = ""
         self._answering_until = 0.0
         self.instance = ""
         self.born_ms = 0
@@ -58,6 +59,16 @@
         """Reason why no new call may go to the backend server; empty if calls may."""
         return CLOSED_REASONS.get(self._state, "")
 
+    @property
+    def run(self):
+        """The `run_id` of the backend server; empty if its instance is unknown."""
+        return run_id(self.instance, self.born_ms) if self.instance else ""
+
+    @property
+    def leaving_run(self):
+        """The `run_id` of the backend server if it has stated that it is leaving, else empty."""
+        return self._leaving_run if self._leaving_run == self.run else ""
+
     @property
     def answering(self):
         """Whether the backend server has answered a call recently."""
@@ -105,8 +116,20 @@
         self._ended = ended
         return self._effective_state()
 
+    def set_leaving(self):
+        """Record that this run of the server states that it leaves; return the effective state.
+
+        Notes
+        -----
+        A server may state it in its answers before the list shows it, or without ever
+        entering it there.  It ends soon, so the statement holds for the rest of the run, whatever
+        the list and later answers say.
+        """
+        self._leaving_run = self.run
+        return self._effective_state()
+
     def _effective_state(self):
-        """Combine list entry, evacuation and health into the effective state.
+        """Combine list entry, statements, evacuation and health into the effective state.
 
         Notes
         -----
@@ -116,7 +139,7 @@
         """
         if self.node_leaves:
             return self._state
-        if not self._listed:
+        if not self._listed or self.leaving_run:
             return ServerState.DRAINING
         if self._evacuated:
             return ServerState.EVACUATED
--- a/caperstack/admission/tests/test_rate.py
+++ b/caperstack/admission/tests/test_rate.py
@@ -13,7 +13,7 @@
 from caperstack.admission.owner import Owner
 from caperstack.admission.rate import BURST_SECONDS, MIN_PER_SECOND, RateLimit
 from caperstack.calls.dialect import ServerReport
-from caperstack.calls.model import Answered, Call, NotRun
+from caperstack.calls.model import Answered, Call, NotRun, ServerState
 from caperstack.clock import deadline_after, now
 from caperstack.exception import PeerError
 from caperstack.play.virtual import run_virtual
@@ -362,6 +362,34 @@
 
         self.run_owner(work)
 
+    def test_server_that_leaves_gets_no_calls_whatever_it_states_later(self):
+        """Guards against calls to a leaving server after an answer without the mark."""
+
+        async def work(owner, server):
+            owner.record_report(ServerReport(leaving=True))
+            owner.set_listed(True)
+            owner.record_report(silent(probed=True))
+            refused = await owner.run(self.call("late"))
+            self.assertEqual(refused.reason, "backend server is leaving")
+            self.assertEqual(
+                (owner.load.state, owner.load.leaving_run), (ServerState.DRAINING, "i-1@0")
+            )
+            owner.assign("i-1", "s", 5)
+            self.assertEqual((owner.load.state, owner.load.leaving_run), (ServerState.WARM, ""))
+            self.assertIsInstance(await owner.run(self.call("next run")), Answered)
+
+        self.run_owner(work)
+
+    def test_statement_before_the_server_is_listed_marks_no_later_server(self):
+        """Guards against a mark of the address's former server that holds for the listed one."""
+
+        async def work(owner, server):
+            owner.record_report(ServerReport(instance="i-0", leaving=True))
+            self.assertEqual(owner.load.leaving_run, "")
+            self.assertIsInstance(await owner.run(self.call("any")), Answered)
+
+        self.run_owner(work)
+
     def test_restarted_server_is_not_limited_by_its_former_run(self):
         async def work(owner, server):
             owner.record_report(stating(0.2, probed=True))
--- a/caperstack/admission/tracker.py
+++ b/caperstack/admission/tracker.py
@@ -91,6 +91,7 @@
             round(self._slowdown.relative * 100),
             self._rate.per_thousand_seconds,
             math.ceil(self._gate.rate_wait * 1000),
+            self._status.leaving_run,
         )
 
     async def start(self, kernel):
@@ -148,7 +149,7 @@
             self.set_state(self._status.set_ended(instance != self._status.instance))
 
     def record_report(self, report):
-        """Record the rate limit that the backend server states in an answer.
+        """Record what the backend server states in an answer: a rate limit, that it leaves.
 
         Parameters
         ----------
@@ -157,16 +158,18 @@
         """
         if self._is_of_another_instance(report):
             return
+        stated = {
+            "instance": report.instance or self._status.instance,
+            "stated_by": "health path" if report.probed else "answer to a call",
+        }
         before = self._rate.per_second
         if self._rate.update(report):
-            self._events.state(
-                "rate limit",
-                before,
-                self._rate.per_second,
-                instance=report.instance or self._status.instance,
-                stated_by="health path" if report.probed else "answer to a call",
-            )
+            self._events.state("rate limit", before, self._rate.per_second, **stated)
             self._gate.apply_rate()
+        if report.leaving and not self._status.leaving_run:
+            self.set_state(self._status.set_leaving())
+            if self._status.leaving_run:
+                self._events.state("server leaves", False, True, **stated)
 
     def _is_of_another_instance(self, report):
         return "" not in (report.instance, self.instance) and report.instance != self.instance
--- a/caperstack/calls/model.py
+++ b/caperstack/calls/model.py
@@ -18,6 +18,7 @@
     "Unknown",
     "call_ids",
     "initial_estimate_seconds",
+    "run_id",
 ]
 
 #: Number of ids reserved for each microsecond of the start time.  Ids of successive
@@ -69,6 +70,19 @@
     EVACUATED = 5
 
 
+def run_id(instance, born_ms):
+    """Return the identifier of one run of a backend server.
+
+    Parameters
+    ----------
+    instance : str
+        Name of its instance, which a restarted server may keep.
+    born_ms : int
+        Its start time in milliseconds since 1970; 0 if unknown.
+    """
+    return f"{instance}@{born_ms}"
+
+
 @dataclass(slots=True)
 class Load:
     """Load of a backend server as known to its owner.
@@ -94,6 +108,9 @@
         together; 0 if it states no limit, and at least 1 otherwise.
     rate_wait_ms : int
         Milliseconds until this limit lets a call start that arrives now.
+    leaving_run : str
+        The `run_id` of the backend server if it states in its answers that it is
+        leaving; empty otherwise.
     """
 
     in_flight: int = 0
@@ -106,6 +123,7 @@
     pace: int = 100
     rate_limit: int = 0
     rate_wait_ms: int = 0
+    leaving_run: str = ""
 
 
 @dataclass(slots=True)
--- a/caperstack/membership/members.py
+++ b/caperstack/membership/members.py
@@ -49,6 +49,8 @@
         Whether the host list marks the host as leaving.
     instance : str
         Identifies one run of the backend server; empty if unknown.
+    leaving_run : str
+        The latest run of the backend server that stated that it is leaving; empty if none.
     owner : object
         Sends calls to the member's owner: the local owner or a link to a peer.
     estimate : Estimate
@@ -64,6 +66,7 @@
     leaving_incarnation: int = -1
     listed_leaving: bool = False
     instance: str = ""
+    leaving_run: str = ""
     owner: object = None
     estimate: Estimate = field(default_factory=Estimate)
 
@@ -77,8 +80,12 @@
         would go to a server that is about to stop.  Therefore an announcement to
         leave stays in force until a newer incarnation of the node is seen.  A
         backend server that drains while its node keeps running may return to
-        service; there the latest state reported by the owner decides.
+        service; there the latest state reported by the owner decides.  If the server has
+        stated it in its answers, the statement holds for that run of it, also when its node
+        has restarted and does not know of it.
         """
+        if self.leaving_run and self.leaving_run == self.instance:
+            return True
         drains = self.estimate.state in (ServerState.DRAINING, ServerState.EVACUATED)
         return drains or self.listed_leaving or self.leaving_incarnation >= max(self.incarnation, 0)
 
@@ -264,6 +271,13 @@
         for listener in self._listeners:
             listener(member, gone)
 
+    def mark_server_leaving(self, host, run):
+        """Record that the backend server of `host` states in its answers that `run` leaves."""
+        member = self._hosts.get(host)
+        if member is not None and member.leaving_run != run:
+            member.leaving_run = run
+            self._events.state("server leaves", False, True, host, instance=run)
+
     def mark_leaving(self, host, incarnation):
         """Record that `incarnation` of `host` is leaving; return whether that is new."""
         member = self._hosts.get(host)
--- a/caperstack/membership/tests/test_members.py
+++ b/caperstack/membership/tests/test_members.py
@@ -50,6 +50,26 @@
         member.incarnation = 6
         self.assertFalse(member.leaving)
 
+    def test_server_that_states_it_leaves_stays_leaving_until_another_run_is_listed(self):
+        """Guards against a restarted node whose load makes its leaving server usable again."""
+        members = make_members()
+        members.apply_host_list([entry("x", instance="i@1")])
+        member = members.find("x")
+        members.mark_server_leaving("x", "i@1")
+        member.estimate.update_load(Load())
+        members.apply_host_list([entry("x", instance="i@1")])
+        self.assertTrue(member.leaving)
+        members.apply_host_list([entry("x", instance="i@2")])
+        self.assertFalse(member.leaving)
+
+    def test_statement_of_a_former_run_does_not_mark_the_present_one(self):
+        """Guards against a report that was on its way when the server was replaced."""
+        members = make_members()
+        members.apply_host_list([entry("x", instance="i@2")])
+        members.mark_server_leaving("x", "i@1")
+        members.mark_server_leaving("gone", "i@1")
+        self.assertFalse(members.find("x").leaving)
+
     def test_restart_of_a_backend_server_resets_its_estimate(self):
         # A backend server failed until it was ejected, drained, and restarted under
         # the same name.  Calls of this node that are in flight stay counted.
--- a/caperstack/peers/link.py
+++ b/caperstack/peers/link.py
@@ -386,5 +386,7 @@
     def _apply_load(self, report):
         load = load_from_report(report)
         self._member.estimate.update_load(load)
+        if load.leaving_run:
+            self._links.members.mark_server_leaving(self._member.host, load.leaving_run)
         if load.state == ServerState.STOPPING:
             self._links.members.mark_leaving(self._member.host, self._member.incarnation)
--- a/caperstack/peers/messages.py
+++ b/caperstack/peers/messages.py
@@ -63,6 +63,7 @@
     pace: int
     rate_limit: int = 0
     rate_wait_ms: int = 0
+    leaving_run: str = ""
 
 
 class Hello(_MessageStruct, tag=1):
--- a/caperstack/peers/translate.py
+++ b/caperstack/peers/translate.py
@@ -44,6 +44,7 @@
         load.pace,
         load.rate_limit,
         load.rate_wait_ms,
+        load.leaving_run,
     )
 
 
@@ -60,6 +61,7 @@
         report.pace,
         report.rate_limit,
         report.rate_wait_ms,
+        report.leaving_run,
     )
 
 
--- a/caperstack/platform/entries.py
+++ b/caperstack/platform/entries.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from caperstack.addresses import split_address
+from caperstack.calls.model import run_id
 from caperstack.exception import ConfigurationError
 from caperstack.platform.durations import parse_duration
 from caperstack.platform.names import SERVERS_PREFIX
@@ -101,7 +102,7 @@
     @property
     def incarnation(self):
         """The identifier that distinguishes this start of the server from every other."""
-        return f"{self.instance}@{self.born_ms}"
+        return run_id(self.instance, self.born_ms)
 
     @property
     def order(self):
--- a/caperstack/platform/tests/test_statements.py
+++ b/caperstack/platform/tests/test_statements.py
@@ -147,3 +147,70 @@
             return {reply.code for reply in replies} == {200}
 
         await self.until(serves, "the new instance serves every call")
+
+
+class TestLeaving(FleetCase):
+    """Servers that state in their answers that they are leaving; the store lists them as ready."""
+
+    #: Time after which a leaving server must get no calls, in seconds.
+    drain_seconds = 2.0
+
+    def count_runs(self, host):
+        return len(host.instance.ledger)
+
+    async def state_leaving(self, host):
+        """Make the server state that it is leaving, and wait until that must be in force."""
+        host.instance.behaviour.leaving = "1"
+        await asyncio.sleep(self.drain_seconds)
+
+    async def test_leaving_server_gets_no_calls_though_the_store_lists_it(self):
+        """Guards against calls to a server that only its own answers show as leaving."""
+        await self.state_leaving(self.first)
+        before = self.count_runs(self.first)
+        self.fleet.register(self.first)
+        replies = await self.send_stream("/list/", 40, 2.0)
+        replies += await self.send_stream("/book/", 40, 1.0, method="POST")
+        self.assertEqual(self.count_runs(self.first), before)
+        self.assertEqual({reply.code for reply in replies}, {200})
+
+    async def test_running_call_completes_and_the_last_server_refuses_at_once(self):
+        """Guards against cut calls and waiting callers when the only server of a service leaves."""
+        self.third.instance.behaviour.seconds = 1.5
+        call = asyncio.create_task(self.fleet.ask(self.first, "/rates/"))
+
+        async def running():
+            return self.third.instance.running == 1
+
+        await self.until(running, "the call is running")
+        await self.state_leaving(self.third)
+        began = now()
+        name, reply = await self.fleet.ask(self.second, "/rates/")
+        self.assertEqual((reply.code, self.fleet.runs(name)), (503, 0))
+        self.assertGreater(float(reply.headers["Retry-After"]), 0.0)
+        self.assertLess(now() - began, 1.0)
+        _, completed = await call
+        self.assertEqual(completed.code, 200)
+
+    async def test_entries_remember_it_when_the_node_beside_the_server_restarts(self):
+        """Guards against a restarted node that has not heard it, and entries that ask only it."""
+        await self.state_leaving(self.first)
+        self.first.instance.behaviour.leaving = ""
+        self.first.node.kill()
+        before = self.count_runs(self.first)
+        self.fleet.start_node(self.first)
+        await self.until(lambda: self.fleet.ready(self.first), "ready")
+        replies = await self.send_stream("/list/", 40, 2.0, self.fleet.hosts[1:])
+        self.assertEqual(self.count_runs(self.first), before)
+        self.assertEqual({reply.code for reply in replies}, {200})
+
+    async def test_new_instance_at_the_address_gets_calls(self):
+        """Guards against a host that is avoided for good after its server has left."""
+        await self.state_leaving(self.third)
+        self.fleet.crash(self.third)
+        self.third.instance.behaviour.leaving = ""
+
+        async def serves():
+            _, reply = await self.fleet.ask(self.first, "/rates/")
+            return reply.code == 200
+
+        await self.until(serves, "the new instance serves")
