Entries tell a restarted node the rate limit that they know of its server

Cause: the new process knows the rate only from the next answer; its peers know it already. Change: an entry that dials names in its hello the rate that it knows and the run that stated it. The owner applies it unless it has heard the server itself, or once that run is listed; one call may start at once, whose answer confirms or withdraws it. The hello comes before the entry's calls on the same connection, so no entry that has passed the rate on can send calls that the owner does not limit. Ruled out: limiting every node that starts to a few calls until the first answer: all restarts would pay. Both fields come last in the hello and have defaults, so nodes of the former version read it.

--- a/caperstack/admission/rate.py
+++ b/caperstack/admission/rate.py
@@ -1,8 +1,10 @@
 """Rate limit that a backend server states in its answers."""
 
+from dataclasses import dataclass
+
 from caperstack.clock import now, time_left
 
-__all__ = ["RateLimit"]
+__all__ = ["KnownRate", "RateLimit"]
 
 #: Time by which starts may be ahead of an even schedule, in seconds.  It lets calls that
 #: arrive unevenly use the whole rate.
@@ -16,6 +18,27 @@
 TIMER_TOLERANCE_SECONDS = 1e-6
 
 
+@dataclass(frozen=True, slots=True)
+class KnownRate:
+    """A rate limit that an entry knows of another host's backend server.
+
+    Attributes
+    ----------
+    run : str
+        The `caperstack.calls.model.run_id` of the server that stated it.
+    per_thousand_seconds : int
+        Requests per 1000 seconds; 0 for no limit.
+    """
+
+    run: str
+    per_thousand_seconds: int
+
+    @property
+    def stated(self):
+        """Whether a known run of the server has stated a rate limit."""
+        return bool(self.run) and self.per_thousand_seconds > 0
+
+
 class RateLimit:
     """The requests per second that a backend server accepts from all hosts together.
 
@@ -44,6 +67,7 @@
         self._due_at = 0.0
         self._return_at = 0.0
         self._stated_by_probes = False
+        self._heard = False
 
     @property
     def per_second(self):
@@ -71,8 +95,29 @@
     def restart(self):
         """Forget the rate, since another run of the backend server has begun."""
         self._stated_by_probes = False
+        self._heard = False
         self._set(None)
 
+    def recall(self, per_second):
+        """Apply a rate that an entry knows, unless the server itself has been heard.
+
+        Returns
+        -------
+        bool
+            Whether the rate is in force now and was not before.
+
+        Notes
+        -----
+        If only answers to calls state the rate, a node that starts would fill all slots
+        before the first of them.  One call may start at once, whose answer tells whether
+        the rate still holds.
+        """
+        if self._heard or self.active:
+            return False
+        self._set(per_second)
+        self._due_at = now() + BURST_SECONDS
+        return True
+
     def update(self, report):
         """Apply the `caperstack.calls.dialect.ServerReport` of an answer.
 
@@ -87,6 +132,7 @@
             self._stated_by_probes |= report.probed
         elif report.probed and not self._stated_by_probes:
             return False
+        self._heard = True
         changed = report.rate_limit != self._per_second
         if changed:
             self._set(report.rate_limit)
--- a/caperstack/admission/tests/test_rate.py
+++ b/caperstack/admission/tests/test_rate.py
@@ -11,7 +11,7 @@
 from caperstack import clock
 from caperstack.admission.gate import RATE_LIMIT_REASON
 from caperstack.admission.owner import Owner
-from caperstack.admission.rate import BURST_SECONDS, MIN_PER_SECOND, RateLimit
+from caperstack.admission.rate import BURST_SECONDS, MIN_PER_SECOND, KnownRate, RateLimit
 from caperstack.calls.dialect import ServerReport
 from caperstack.calls.model import Answered, Call, NotRun, ServerState
 from caperstack.clock import deadline_after, now
@@ -362,6 +362,33 @@
 
         self.run_owner(work)
 
+    def test_rate_that_an_entry_knows_holds_until_the_server_is_heard(self):
+        """Guards against a node that starts and fills all slots before the first answer."""
+
+        async def work(owner, server):
+            owner.recall_rate(KnownRate("i-1@0", 200))
+            outcomes = await asyncio.gather(*(owner.run(self.call(f"c{n}")) for n in range(5)))
+            self.assertEqual(len(server.ids), 1)
+            self.assertEqual([type(o) for o in outcomes], [Answered] + [NotRun] * 4)
+            owner.record_report(silent())
+            await asyncio.gather(*(owner.run(self.call(f"d{n}")) for n in range(5)))
+            self.assertEqual(len(server.ids), 6)
+            owner.recall_rate(KnownRate("i-1@0", 200))
+            self.assertEqual(owner.load.rate_limit, 0)
+
+        self.run_owner(work)
+
+    def test_rate_that_an_entry_knows_waits_until_its_run_is_listed(self):
+        """Guards against a rate of another run, and one that comes before the list is read."""
+
+        async def work(owner, server):
+            owner.recall_rate(KnownRate("i-2@7", 200))
+            self.assertEqual(owner.load.rate_limit, 0)
+            owner.assign("i-2", "s", 7)
+            self.assertEqual(owner.load.rate_limit, 200)
+
+        self.run_owner(work)
+
     def test_server_that_leaves_gets_no_calls_whatever_it_states_later(self):
         """Guards against calls to a leaving server after an answer without the mark."""
 
--- a/caperstack/admission/tracker.py
+++ b/caperstack/admission/tracker.py
@@ -34,6 +34,7 @@
         self._slowdown = HostSlowdown()
         self._cold = ColdLimit()
         self._rate = RateLimit()
+        self._known_rate = None
         self._gate = SlotGate(
             settings.slots,
             settings.slots_share,
@@ -171,6 +172,28 @@
             if self._status.leaving_run:
                 self._events.state("server leaves", False, True, **stated)
 
+    def recall_rate(self, known):
+        """Apply the rate limit that an entry knows, unless the server itself has been heard.
+
+        Parameters
+        ----------
+        known : caperstack.admission.rate.KnownRate
+            What the entry knows.
+
+        Notes
+        -----
+        If the run of the backend server is not known yet, it is applied once it is.
+        """
+        self._known_rate = known
+        if known.run == self._status.run and self._rate.recall(known.per_thousand_seconds / 1000):
+            self._events.state(
+                "rate limit",
+                None,
+                self._rate.per_second,
+                instance=self._status.instance,
+                stated_by="an entry",
+            )
+
     def _is_of_another_instance(self, report):
         return "" not in (report.instance, self.instance) and report.instance != self.instance
 
@@ -230,6 +253,8 @@
         self._slowdown.restart()
         if not first:
             self._reset_for_restart(moved)
+        if self._known_rate is not None:
+            self.recall_rate(self._known_rate)
 
     def _reset_for_restart(self, moved):
         self._breaker.restart()
--- a/caperstack/peers/link.py
+++ b/caperstack/peers/link.py
@@ -284,7 +284,7 @@
         return PeerConnection(reader, writer, self._member.peer_address, self._links.metrics)
 
     async def _perform_handshake(self, connection):
-        hello = await connection.handshake(self._links.hello())
+        hello = await connection.handshake(self._links.hello(self._member))
         if hello.host != self._member.host:
             reason = f"it is {hello.host}, not {self._member.host}"
             raise FrameError(reason, step="handshake", peer=self._member.peer_address)
--- a/caperstack/peers/links.py
+++ b/caperstack/peers/links.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from caperstack.admission.local import LocalOwner
+from caperstack.admission.rate import KnownRate
 from caperstack.clock import wall_microseconds
 from caperstack.peers.link import PING_SECONDS, Link
 from caperstack.peers.translate import hello_message
@@ -58,9 +59,12 @@
                 link.check_liveness()
             self._retiring = [link for link in self._retiring if not link.retired]
 
-    def hello(self):
-        """Return the `Hello` message of this node."""
-        return hello_message(self._here, self.incarnation, self._owner.load)
+    def hello(self, member):
+        """Return the `Hello` message of this node to the peer `member`."""
+        known = KnownRate(member.instance, member.estimate.rate_limit)
+        return hello_message(
+            self._here, self.incarnation, self._owner.load, known if known.stated else None
+        )
 
     def client_tls(self):
         """Return the TLS context for dialling, or ``None`` for plaintext."""
--- a/caperstack/peers/messages.py
+++ b/caperstack/peers/messages.py
@@ -70,7 +70,9 @@
     """The first message of each side.
 
     ``sent_us`` is the sender's monotonic clock, ``incarnation`` the wall clock time at
-    which its node started, in microseconds.
+    which its node started, in microseconds.  ``known_run`` and ``known_rate`` are the
+    last rate limit that the sender knows of the receiver's backend server, as in `LoadReport`,
+    and the run of the server that stated it; without a limit they are empty and 0.
     """
 
     version: int
@@ -80,6 +82,8 @@
     incarnation: int
     sent_us: int
     load: LoadReport
+    known_run: str = ""
+    known_rate: int = 0
 
 
 class CallMessage(_MessageStruct, tag=2):
--- a/caperstack/peers/port.py
+++ b/caperstack/peers/port.py
@@ -4,6 +4,7 @@
 from functools import singledispatchmethod
 
 from caperstack.addresses import split_address
+from caperstack.admission.rate import KnownRate
 from caperstack.calls.model import NotRun
 from caperstack.clock import deadline_after, now
 from caperstack.exception import PeerError
@@ -197,6 +198,9 @@
 
     async def _serve(self, connection):
         self._connections[connection] = True
+        known = KnownRate(connection.hello.known_run, connection.hello.known_rate)
+        if known.stated:
+            self._owner.recall_rate(known)
         self._links.on_peer_dialled(connection.hello.host)
         # The state may have changed since the hello was sent, while the connection was
         # not yet among those that get pushes.  Without this update the entry would
--- a/caperstack/peers/translate.py
+++ b/caperstack/peers/translate.py
@@ -136,8 +136,20 @@
     )
 
 
-def hello_message(here, incarnation, load):
-    """Return the `Hello` message of this node."""
+def hello_message(here, incarnation, load, known=None):
+    """Return the `Hello` message of this node.
+
+    Parameters
+    ----------
+    here : caperstack.config.node.NodeSettings
+        This node.
+    incarnation : int
+        When it started, in microseconds of the wall clock.
+    load : caperstack.calls.model.Load
+        The load of its backend server.
+    known : caperstack.admission.rate.KnownRate, optional
+        The rate limit that this node knows of the receiver's backend server.
+    """
     return Hello(
         VERSION,
         here.host,
@@ -146,6 +158,8 @@
         incarnation,
         int(now() * 1e6),
         load_report(load),
+        known.run if known else "",
+        known.per_thousand_seconds if known else 0,
     )
 
 
--- a/caperstack/platform/tests/test_statements.py
+++ b/caperstack/platform/tests/test_statements.py
@@ -119,6 +119,21 @@
         await self.send_stream("/rates/", 40, 2.0, self.fleet.hosts[:2])
         self.assert_rate_kept(self.third, 3.0, in_force)
 
+    async def test_restarted_node_keeps_a_rate_that_only_answers_to_calls_state(self):
+        """Guards against a node that starts and fills all slots before the first answer."""
+        behaviour = self.third.instance.behaviour
+        behaviour.seconds = 0.5
+        behaviour.health_states_limit = False
+        entries = self.fleet.hosts[:2]
+        in_force = self.state_rate(self.third, "0.5") + behaviour.seconds
+        await self.send_stream("/rates/", 40, 1.5, entries)
+        for _ in range(2):
+            self.third.node.kill()
+            self.fleet.start_node(self.third)
+            await self.until(lambda: self.fleet.ready(self.third), "ready")
+            await self.send_stream("/rates/", 40, 0.5, entries)
+        self.assert_rate_kept(self.third, 0.5, in_force)
+
     async def test_rate_is_kept_while_answers_are_lost(self):
         """Guards against a rate that is learnt from answers to calls only."""
         self.third.instance.behaviour.lose_answers = True
--- a/caperstack/routing/estimates.py
+++ b/caperstack/routing/estimates.py
@@ -110,6 +110,11 @@
         """Whether the host is so slow at the moment that the owner would refuse calls."""
         return self._slowdown() >= SLOWED_PACE
 
+    @property
+    def rate_limit(self):
+        """The rate limit in the last load report, in requests per 1000 seconds; 0 if none."""
+        return self._load.rate_limit
+
     @property
     def reported_service_seconds(self):
         """The service time last reported by the owner in seconds; ``None`` if not known."""
