--- a/caperstack/admission/tests/test_rate.py
+++ b/caperstack/admission/tests/test_rate.py
@@ -407,7 +407,7 @@
 
         self.run_owner(work)
 
-    def test_statement_before_the_server_is_listed_marks_no_later_server(self):
+    def test_mark_of_another_instance_does_not_close_the_listed_server(self):
         """Guards against a mark of the address's former server that holds for the listed one."""
 
         async def work(owner, server):
--- a/caperstack/calls/dialect.py
+++ b/caperstack/calls/dialect.py
@@ -180,10 +180,12 @@
         self.pace = max(percent, 1) / 100
 
     def _read_rate_limit(self, text, dialect):
-        self.states_rate_limit = bool(text)
+        if not text:
+            return
+        self.states_rate_limit = True
         if RATE_PATTERN.fullmatch(text):
             self.rate_limit = float(text)
-        elif text:
+        else:
             self._add_unreadable(dialect.rate_limit, text)
 
     def _read_leaving(self, text, dialect):
