A late response to an earlier request reports nothing about the server

What callers would see: a server that answers twice, the second time without the header, is free of its rate limit until its next answer. Cause: the head of each response was taken for a report, also that of a late response to another request, which shows what held at an earlier time. Change: such a response is passed over; the load of the next one comes with it on the same connection. Evidence: the test gets one report, two before.

--- a/caperstack/backend/connection.py
+++ b/caperstack/backend/connection.py
@@ -92,13 +92,21 @@
         self.complete = False
 
     def headers_received(self, start_line, headers):
-        """Store the head, and pass on the server's report without waiting for the body."""
+        """Store the head, and pass on the server's report without waiting for the body.
+
+        Notes
+        -----
+        A late response to an earlier request shows the load and the statements of an
+        earlier time; without a rate limit it would withdraw the present one.
+        """
         self.start = start_line
         self.headers = headers
         echoed = headers.get(self._dialect.request_id)
         self.stale = echoed is not None and echoed != self._request_id
         self.framed = "Content-Length" in headers or "Transfer-Encoding" in headers
-        self._on_report(ServerReport.read(headers, self._dialect, probed=not self._request_id))
+        if not self.stale:
+            probed = not self._request_id
+            self._on_report(ServerReport.read(headers, self._dialect, probed))
 
     def data_received(self, chunk):
         """Collect a part of the body, up to the size limit."""
--- a/caperstack/backend/tests/test_client.py
+++ b/caperstack/backend/tests/test_client.py
@@ -7,6 +7,7 @@
 from caperstack.addresses import split_address
 from caperstack.backend.client import BackendClient
 from caperstack.bench.fleet import free_addresses
+from caperstack.calls.dialect import Dialect
 from caperstack.calls.model import Call
 from caperstack.clock import deadline_after, now
 from caperstack.exception import BackendError
@@ -71,6 +72,24 @@
             writer.close()
 
 
+class TestReports(unittest.IsolatedAsyncioTestCase):
+    """Reports of a server in the heads of its responses."""
+
+    async def test_late_response_to_another_request_reports_nothing(self):
+        """Guards against a rate limit that a late response without it withdraws."""
+        late = b"HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nok"
+        own = b"HTTP/1.1 200 OK\r\nId: r\r\nRate: 5\r\nContent-Length: 2\r\n\r\nok"
+        server = ScriptedServer(late + own)
+        await server.start()
+        reports = []
+        dialect = Dialect(request_id="Id", rate_limit="Rate")
+        client = BackendClient(server.address, 10, 1024, dialect, reports.append)
+        answer = await client.fetch(make_call())
+        self.assertEqual((answer.status, len(reports)), (200, 1))
+        self.assertEqual((reports[0].rate_limit, reports[0].probed), (5.0, False))
+        await client.stop()
+
+
 class TestBackendClient(unittest.IsolatedAsyncioTestCase):
     """Tests of `BackendClient.fetch`."""
 
