Soak: servers that state rate limits and that they leave, among all other faults

One server or all of a service state a rate, then another, then none; for rates of two a second and more the health path may leave it out. Others state that they leave while the store lists them as ready. The guarantee counts runs in every window of 4 s; trouble of the node beside the server excuses it only until the node has heard the rate, trouble of the store excuses nothing.

--- a/caperstack/soak/checks.py
+++ b/caperstack/soak/checks.py
@@ -1,5 +1,6 @@
 """Check the guarantees of the nodes against what callers and backend servers saw."""
 
+from bisect import bisect_left
 from collections import Counter, defaultdict
 from itertools import pairwise
 
@@ -22,6 +23,14 @@
 BLOCKED_AFTER_SECONDS = 3.0
 MAX_SENDS = 3
 
+#: A rate limit must be in force this long after a backend server first states it, in
+#: seconds.  From then on it may get `MAX_RATE_FACTOR` times the rate and `RATE_SLACK`
+#: requests in any window of `RATE_WINDOW_SECONDS`.
+RATE_KNOWN_SECONDS = 0.5
+RATE_WINDOW_SECONDS = 4.0
+MAX_RATE_FACTOR = 1.5
+RATE_SLACK = 5
+
 REFUSAL_STATUSES = frozenset((408, 421, 429, 503))
 
 
@@ -50,7 +59,11 @@
             )
     known = {request.name for request in requests}
     broken["nobody asked"] = [name for name in runs if name not in known]
-    broken["after leaving"] = list(_runs_after_departure(state))
+    broken["after leaving"] = [
+        *_runs_after_departure(state, state.departures),
+        *_runs_after_departure(state, state.stated_departures, store=False),
+    ]
+    broken["rate limit"] = list(_rate_limits_exceeded(state))
     broken["evacuated zone"] = list(_runs_in_evacuated_zone(state))
     broken["cold server spared"] = [
         f"{host.ip} {host.instance.overloaded} times"
@@ -105,19 +118,55 @@
     return True
 
 
-def _runs_after_departure(state):
-    """Yield the runs at instances that had left, once the nodes beside them had to know it."""
-    left = {change.subject: change.at for change in state.departures}
+def _runs_after_departure(state, departures, store=True):
+    """Yield the runs at instances that had left, once the nodes beside them had to know it.
+
+    Faults of the store excuse them only if `store` is true.
+    """
+    left = {change.subject: change.at for change in departures}
     known_after = PROPAGATION_SECONDS + SCHEDULING_SLACK_SECONDS
     for host in state.fleet.hosts:
         for run in host.instance.ledger:
             at = left.get(run.instance)
             if at is None or run.at < at + known_after:
                 continue
-            if not state.fault_active(at, run.at, host.ip):
+            if not state.fault_active(at, run.at, host.ip, store):
                 yield f"{run.name} at {run.instance}, {run.at - at:.2f} s after it left"
 
 
+def _rate_limits_exceeded(state):
+    """Yield the rate limits of which a backend server got too many requests in some window.
+
+    A fault of the node beside the server excuses it only until the node has heard the limit:
+    whatever restarts or pauses later, the limit must hold.
+    """
+    for period in state.rate_limits:
+        since = _rate_limit_known_at(state, period)
+        host = next(host for host in state.fleet.hosts if host.ip == period.host)
+        times = sorted(run.at for run in host.instance.ledger if since <= run.at < period.end)
+        allowed = MAX_RATE_FACTOR * period.per_second * RATE_WINDOW_SECONDS + RATE_SLACK
+        most = max(
+            (bisect_left(times, at + RATE_WINDOW_SECONDS) - i for i, at in enumerate(times)),
+            default=0,
+        )
+        if most > allowed:
+            yield f"{period.host} got {most} at {period.per_second} per second"
+
+
+def _rate_limit_known_at(state, period):
+    """Return when the node beside the server must know a rate limit."""
+    delay = RATE_KNOWN_SECONDS + SCHEDULING_SLACK_SECONDS
+    ends = [
+        window.end
+        for window in state.windows
+        if window.process
+        and window.host == period.host
+        and window.begin <= period.begin + delay
+        and window.end >= period.begin
+    ]
+    return max([period.begin, *ends]) + delay
+
+
 def _runs_in_evacuated_zone(state):
     """Yield the runs in a zone that was evacuated, once all nodes had to know it."""
     for evacuation in state.evacuations:
--- a/caperstack/soak/faults.py
+++ b/caperstack/soak/faults.py
@@ -6,7 +6,7 @@
 
 from caperstack.clock import now
 from caperstack.soak.client import ask
-from caperstack.soak.state import Change
+from caperstack.soak.state import Change, RateLimitPeriod
 
 __all__ = [
     "COLD_TOLERATED_PER_SECOND",
@@ -15,6 +15,7 @@
     "MOVING_PATH_SERVICES",
     "PROCESS_FAULTS",
     "RESTORE",
+    "STATEMENTS",
     "change_configuration",
 ]
 
@@ -25,6 +26,13 @@
 #: How long a departing backend server continues to serve before it ends, in seconds.
 DEPARTURE_SECONDS = 4.0
 
+#: Rates that backend servers state, in requests per second, and how long they state one, in
+#: seconds.  From `LEAST_RATE_OUTSIDE_HEALTH` on, the health path may leave it out: until the
+#: first answer to a call, a node that starts while all others do may fill all slots.
+RATES = ("0.4", "2", "5.3")
+RATE_SECONDS = (5.0, 8.0)
+LEAST_RATE_OUTSIDE_HEALTH = 2.0
+
 _instance_numbers = itertools.count(1)
 _fatal_numbers = itertools.count(1)
 
@@ -153,6 +161,41 @@
     state.fleet.register(host)
 
 
+async def state_departure(state):
+    """Replace a backend server that only states in its answers that it is leaving."""
+    host = state.random_host()
+    instance = host.instance
+    instance.behaviour.leaving = "1"
+    state.stated_departures.append(Change(now(), instance.name))
+    await asyncio.sleep(DEPARTURE_SECONDS)
+    state.fleet.withdraw(host)
+    instance.behaviour.leaving = ""
+    instance.name = f"{instance.name}-{next(_instance_numbers)}"
+    await asyncio.sleep(state.rng.uniform(0.0, 0.5))
+    state.fleet.register(host)
+
+
+async def state_rate_limits(state):
+    """One server, or all of a service, state a rate limit, then another, then none."""
+    chosen = state.random_host()
+    hosts = [chosen]
+    if state.rng.random() < 0.5:
+        hosts = [h for h in state.fleet.hosts if h.instance.service == chosen.instance.service]
+    for rate in state.rng.sample(RATES, 2):
+        states_in_health = float(rate) < LEAST_RATE_OUTSIDE_HEALTH or state.rng.random() < 0.5
+        periods = [RateLimitPeriod(host.ip, float(rate), now()) for host in hosts]
+        state.rate_limits += periods
+        for host in hosts:
+            host.instance.behaviour.health_states_limit = states_in_health
+            host.instance.behaviour.rate_limit = rate
+        await asyncio.sleep(state.rng.uniform(*RATE_SECONDS))
+        for period in periods:
+            period.end = now()
+    for host in hosts:
+        host.instance.behaviour.rate_limit = ""
+        host.instance.behaviour.health_states_limit = True
+
+
 async def fatal_request(state):
     """Repeat a request that crashes every server which runs it, at random nodes."""
     target = f"/listings/fatal-{next(_fatal_numbers)}"
@@ -242,23 +285,33 @@
 #: The fault that loses the last writes to the store.
 RESTORE = "store restored"
 
-#: All faults; the others run concurrently with those of the processes.
-FAULTS = PROCESS_FAULTS | {
-    "store refuses": _store_fault(status=503),
-    "store silent": _store_fault(silent=True),
-    "store cuts": _store_fault(cut=True),
-    "store slow": _store_fault(delay_seconds=0.3),
-    RESTORE: restore_store,
-    "server replaced": replace_server,
-    "server crashes": crash_server,
-    "server turns cold": make_server_cold,
-    "zone evacuated": evacuate_zone,
-    "fatal request": fatal_request,
-    "server loses answers": _server_fault(1.5, lose_answers=True),
-    "server answers twice": _server_fault(2.0, extra_answers=True),
-    "server cuts answers": _server_fault(1.5, unframed="reset"),
-    "server refuses": _server_fault(2.0, refuse=True),
-    "server fails": _server_fault(2.0, status=500),
-    "server has a neighbour": _server_fault(2.0, pace=4.0),
-    "configuration": change_configuration,
+#: The faults of servers that state something about themselves in their answers.
+STATEMENTS = {
+    "server states a rate limit": state_rate_limits,
+    "server states that it leaves": state_departure,
 }
+
+#: All faults; the others run concurrently with those of the processes.
+FAULTS = (
+    PROCESS_FAULTS
+    | {
+        "store refuses": _store_fault(status=503),
+        "store silent": _store_fault(silent=True),
+        "store cuts": _store_fault(cut=True),
+        "store slow": _store_fault(delay_seconds=0.3),
+        RESTORE: restore_store,
+        "server replaced": replace_server,
+        "server crashes": crash_server,
+        "server turns cold": make_server_cold,
+        "zone evacuated": evacuate_zone,
+        "fatal request": fatal_request,
+        "server loses answers": _server_fault(1.5, lose_answers=True),
+        "server answers twice": _server_fault(2.0, extra_answers=True),
+        "server cuts answers": _server_fault(1.5, unframed="reset"),
+        "server refuses": _server_fault(2.0, refuse=True),
+        "server fails": _server_fault(2.0, status=500),
+        "server has a neighbour": _server_fault(2.0, pace=4.0),
+        "configuration": change_configuration,
+    }
+    | STATEMENTS
+)
--- a/caperstack/soak/platform.py
+++ b/caperstack/soak/platform.py
@@ -14,6 +14,7 @@
     KILL_ALL,
     PROCESS_FAULTS,
     RESTORE,
+    STATEMENTS,
 )
 from caperstack.soak.state import Change, SoakState
 
@@ -85,7 +86,8 @@
 
     Faults of processes, of the store and of servers each form a stream.
     """
-    others = [name for name in FAULTS if name not in PROCESS_FAULTS and name != RESTORE]
+    inserted = {RESTORE, *PROCESS_FAULTS, *STATEMENTS}
+    others = [name for name in FAULTS if name not in inserted]
     store = [name for name in others if name.startswith("store")]
     servers = [name for name in others if not name.startswith("store")]
     processes = list(PROCESS_FAULTS)
@@ -95,6 +97,8 @@
         rng.shuffle(names)
     # Inserted last, so that a seed gives the same order of the other faults as without it.
     store.insert(rng.randrange(len(store) + 1), RESTORE)
+    for name in STATEMENTS:
+        servers.insert(rng.randrange(len(servers) + 1), name)
     yield itertools.cycle(processes), FAULT_GAP_SECONDS
     yield itertools.cycle(store), STORE_FAULT_GAP_SECONDS
     yield itertools.cycle(servers), FAULT_GAP_SECONDS
--- a/caperstack/soak/state.py
+++ b/caperstack/soak/state.py
@@ -5,7 +5,7 @@
 
 from caperstack.clock import now
 
-__all__ = ["Change", "Evacuation", "FaultWindow", "SoakState"]
+__all__ = ["Change", "Evacuation", "FaultWindow", "RateLimitPeriod", "SoakState"]
 
 
 @dataclass
@@ -52,6 +52,24 @@
     end: float = float("inf")
 
 
+@dataclass
+class RateLimitPeriod:
+    """A time in which a backend server states a rate limit; infinite end while it lasts.
+
+    Attributes
+    ----------
+    host : str
+        The host of the backend server.
+    per_second : float
+        The requests per second that it accepts.
+    """
+
+    host: str
+    per_second: float
+    begin: float
+    end: float = float("inf")
+
+
 @dataclass
 class SoakState:
     """A fleet on the stand-ins of the platform, and what happened to it.
@@ -66,6 +84,10 @@
         When faults may have affected nodes.
     departures : list of Change
         The instances that left.
+    stated_departures : list of Change
+        The instances that stated in their answers that they were leaving.
+    rate_limits : list of RateLimitPeriod
+        The rate limits that backend servers stated in their answers.
     configurations : list of Change
         The services that paths were moved to.
     problems : list of str
@@ -92,6 +114,8 @@
     requests: list = field(default_factory=list)
     kill_all_times: list = field(default_factory=list)
     evacuations: list = field(default_factory=list)
+    stated_departures: list = field(default_factory=list)
+    rate_limits: list = field(default_factory=list)
 
     def print_progress(self, text):
         """Print `text` with the time since the start of the run."""
--- a/caperstack/soak/tests/test_checks.py
+++ b/caperstack/soak/tests/test_checks.py
@@ -15,7 +15,7 @@
     check_guarantees,
 )
 from caperstack.soak.main import main
-from caperstack.soak.state import Change, Evacuation, FaultWindow, SoakState
+from caperstack.soak.state import Change, Evacuation, FaultWindow, RateLimitPeriod, SoakState
 
 
 class TestCheckGuarantees(unittest.TestCase):
@@ -139,6 +139,44 @@
         self.state.evacuations[0] = Evacuation("b", 1.0)
         self.assertEqual(self.broken(), set())
 
+    def test_run_at_a_server_that_had_stated_that_it_leaves_is_found(self):
+        self.run_once()
+        self.state.stated_departures.append(Change(7.0, "i1"))
+        self.assertEqual(self.broken(), {"after leaving"})
+        self.state.windows.append(FaultWindow("h1", 6.0, 11.0, process=False))
+        self.assertEqual(self.broken(), {"after leaving"})
+        self.state.windows.append(FaultWindow("h1", 6.0, 11.0))
+        self.assertEqual(self.broken(), set())
+
+    def run_often(self, times, begin, gap):
+        for number in range(times):
+            self.run_once(name=f"r{number}", at=begin + gap * number)
+
+    def rate_broken(self):
+        return "rate limit" in self.broken()
+
+    def test_exceeded_rate_limit_is_found(self):
+        self.state.rate_limits.append(RateLimitPeriod("h1", 2.0, 5.0, 20.0))
+        self.run_often(17, 7.0, 0.2)
+        self.assertFalse(self.rate_broken())
+        self.run_often(18, 12.0, 0.2)
+        self.assertTrue(self.rate_broken())
+
+    def test_runs_before_the_rate_limit_is_known_are_allowed(self):
+        self.state.rate_limits.append(RateLimitPeriod("h1", 2.0, 5.0, 20.0))
+        self.run_often(50, 5.0, 0.019)
+        self.assertFalse(self.rate_broken())
+        self.state.rate_limits[0].begin = 4.0
+        self.assertTrue(self.rate_broken())
+        self.state.windows.append(FaultWindow("h1", 4.5, 5.5))
+        self.assertFalse(self.rate_broken())
+
+    def test_later_fault_does_not_excuse_an_exceeded_rate_limit(self):
+        self.state.rate_limits.append(RateLimitPeriod("h1", 2.0, 5.0, 20.0))
+        self.state.windows.append(FaultWindow("h1", 8.0, 9.0))
+        self.run_often(18, 9.0, 0.1)
+        self.assertTrue(self.rate_broken())
+
     def test_overload_of_a_cold_server_is_found(self):
         self.run_once()
         self.fleet.hosts[0].instance.overloaded = 1
--- a/caperstack/soak/tests/test_soak.py
+++ b/caperstack/soak/tests/test_soak.py
@@ -11,6 +11,11 @@
 SEED = 4
 SECONDS = 40.0
 
+#: With this seed servers state rate limits, and later that they leave, while nodes are
+#: suspended, killed and stopped, and answers come twice.
+STATEMENTS_SEED = 39
+STATEMENTS_SECONDS = 25.0
+
 
 class TestShortSoak(unittest.TestCase):
     """`run_soak` on six hosts."""
@@ -19,3 +24,9 @@
         verdict = asyncio.run(run_soak(SECONDS, SEED))
         self.assertEqual(verdict.broken, {})
         self.assertGreater(verdict.faults["fatal request"], 0)
+
+    def test_every_guarantee_holds_for_servers_that_state_limits_and_leave(self):
+        verdict = asyncio.run(run_soak(STATEMENTS_SECONDS, STATEMENTS_SEED))
+        self.assertEqual(verdict.broken, {})
+        self.assertGreater(verdict.faults["server states a rate limit"], 0)
+        self.assertGreater(verdict.faults["server states that it leaves"], 0)
