--- a/caperstack/admission/owner.py
+++ b/caperstack/admission/owner.py
@@ -170,6 +170,8 @@
             limit=self._gate.limit,
             waiting=self._gate.waiting,
             pace=round(self._slowdown.value, 2),
+            rate=self._rate.per_second,
+            retry_ms=round(refusal.retry_after * 1000),
             objective_ms=_objective_ms(call),
         )
 
