The gate's wake-up timer and the tests' owner stand in modules of their own

Read as a newcomer: the gate had grown by the handling of a timer, and two tests started an owner with the same twelve lines.

--- a/caperstack/admission/gate.py
+++ b/caperstack/admission/gate.py
@@ -6,8 +6,9 @@
 from caperstack.admission.knee import Knee
 from caperstack.admission.limit import AdaptiveLimit
 from caperstack.admission.queue import AdmissionQueue
+from caperstack.admission.wakeup import WakeUp
 from caperstack.calls.model import SLOW_PHASE_LEFT_SECONDS, NotRun
-from caperstack.clock import deadline_after, now, time_left
+from caperstack.clock import now, time_left
 
 __all__ = ["SlotGate"]
 
@@ -60,8 +61,7 @@
         self._times = times
         self._slowdown = slowdown
         self._starts = starts
-        self._wakeup = None
-        self._wake_at = 0.0
+        self._wakeup = WakeUp(self.start_waiting)
         self._slots = slots
         self._knee = Knee(slots, self._initial_limit(slots))
         self._limit = AdaptiveLimit(self._knee.limit, times)
@@ -318,7 +318,7 @@
         while self._running < self._allowed() and len(self._queue):
             wait = self._starts.wait()
             if wait > 0:
-                self._wake_after(wait)
+                self._wakeup.set(wait)
                 return
             call = self._queue.admit_next(self._defers)
             if call is None:
@@ -330,19 +330,6 @@
                 call.running_at_start = self._running
                 self._knee.record_start()
 
-    def _wake_after(self, seconds):
-        wake_at = deadline_after(seconds)
-        if self._wakeup is not None:
-            if self._wake_at <= wake_at:
-                return
-            self._wakeup.cancel()
-        self._wake_at = wake_at
-        self._wakeup = asyncio.get_running_loop().call_later(seconds, self._wake)
-
-    def _wake(self):
-        self._wakeup = None
-        self.start_waiting()
-
     def _allowed(self):
         """Return the concurrency allowed once the next queued call has started."""
         limit = self._limit.limit
--- a/caperstack/admission/status.py
+++ b/caperstack/admission/status.py
@@ -121,8 +121,8 @@
 
         Notes
         -----
-        A server may state it in its answers before the list shows it, or without ever
-        entering it there.  It ends soon, so the statement holds for the rest of the run, whatever
+        A server may state it in its answers before the list shows it, or although the list
+        never does.  It ends soon, so the statement holds for the rest of the run, whatever
         the list and later answers say.
         """
         self._leaving_run = self.run
--- a/caperstack/admission/tests/test_cold.py
+++ b/caperstack/admission/tests/test_cold.py
@@ -3,19 +3,16 @@
 import asyncio
 import random
 import unittest
-from types import SimpleNamespace
-from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from caperstack import clock
 from caperstack.admission.cold import RESTART_SECONDS, WINDOW_SECONDS, ColdLimit
-from caperstack.admission.owner import Owner
+from caperstack.admission.tests.ownercase import start_owner
 from caperstack.calls.model import Answered, Call, NotRun, ServerState
 from caperstack.clock import deadline_after, now, time_left
 from caperstack.play.virtual import run_virtual
-from caperstack.quarantine.suspects import Suspects
 
 #: Calls per second that a cold server sustains in these tests.
 BOUND = 17.75
@@ -178,18 +175,7 @@
 
         async def played():
             server = FakeServer(work)
-            owner = Owner(SimpleNamespace(slots=9, slots_share=0.8), server)
-            recorder = mock.Mock()
-            suspects = Suspects()
-            suspects._events = recorder
-            services = {
-                "metrics": recorder,
-                "events": recorder,
-                "pauses": SimpleNamespace(recently_paused=lambda: False),
-                "members": mock.Mock(),
-                "suspects": suspects,
-            }
-            await owner.start(SimpleNamespace(find=services.__getitem__))
+            owner = await start_owner(server)
             owner.set_cold_limit(BOUND)
             await asyncio.sleep(WINDOW_SECONDS)
             cold_until = deadline_after(cold_for)
--- a/caperstack/admission/tests/test_rate.py
+++ b/caperstack/admission/tests/test_rate.py
@@ -3,21 +3,19 @@
 import asyncio
 import unittest
 from types import SimpleNamespace
-from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies as st
 
 from caperstack import clock
 from caperstack.admission.gate import RATE_LIMIT_REASON
-from caperstack.admission.owner import Owner
 from caperstack.admission.rate import BURST_SECONDS, MIN_PER_SECOND, KnownRate, RateLimit
+from caperstack.admission.tests.ownercase import start_owner
 from caperstack.calls.dialect import ServerReport
 from caperstack.calls.model import Answered, Call, NotRun, ServerState
 from caperstack.clock import deadline_after, now
 from caperstack.exception import PeerError
 from caperstack.play.virtual import run_virtual
-from caperstack.quarantine.suspects import Suspects
 
 #: Length of the windows in which starts are counted, in seconds.
 WINDOW_SECONDS = 4.0
@@ -194,18 +192,7 @@
 
         async def played():
             server = FakeServer()
-            owner = Owner(SimpleNamespace(slots=9, slots_share=0.8), server)
-            recorder = mock.Mock()
-            suspects = Suspects()
-            suspects._events = recorder
-            services = {
-                "metrics": recorder,
-                "events": recorder,
-                "pauses": SimpleNamespace(recently_paused=lambda: False),
-                "members": mock.Mock(),
-                "suspects": suspects,
-            }
-            await owner.start(SimpleNamespace(find=services.__getitem__))
+            owner = await start_owner(server)
             owner.assign("i-1", "s")
             return await work(owner, server)
 
