Only a successful answer without the rate limit withdraws it

Cause: any answer without the header counted as a withdrawal. A rejection may come from a part of the server that knows nothing of the rate, a 421 even from another server at the address. Change: reports tell whether the answer is a success; others withdraw nothing. Ruled out: two answers without it in a row; at low rates the second comes seconds later, and a rate that was withdrawn would hold for that long.

--- a/caperstack/admission/rate.py
+++ b/caperstack/admission/rate.py
@@ -48,9 +48,11 @@
     the limit of the whole fleet.
 
     A server under strain states the rate in its answers for as long as it holds.  An answer
-    without it withdraws it, except that an answer of the health path does so only if the
-    health path has stated it before: not every server states it there.  A rate that cannot
-    be parsed leaves the former one in force, since the server still asks for one.
+    without it withdraws it, with two exceptions.  A refusal or a failure does not: it may
+    come from a part of the server that knows nothing of the rate, or from another server at
+    the address.  An answer of the health path does so only if the health path has stated the
+    rate before: not every server states it there.  A rate that cannot be parsed leaves the
+    former one in force, since the server still asks for one.
 
     Starts follow the generic cell rate algorithm [1]_, whose state is a single point in
     time.  A limit begins without any start in hand: the node's previous process may have
@@ -130,7 +132,7 @@
             if report.rate_limit is None:
                 return False
             self._stated_by_probes |= report.probed
-        elif report.probed and not self._stated_by_probes:
+        elif not report.successful or (report.probed and not self._stated_by_probes):
             return False
         self._heard = True
         changed = report.rate_limit != self._per_second
--- a/caperstack/admission/tests/test_rate.py
+++ b/caperstack/admission/tests/test_rate.py
@@ -53,6 +53,14 @@
         self.assertTrue(self.limit.update(silent(probed=True)))
         self.assertIsNone(self.limit.per_second)
 
+    def test_refusals_and_failures_do_not_withdraw_the_rate(self):
+        """Guards against a limit that each rejected request lifts for a moment."""
+        self.limit.update(stating(5.0, probed=True))
+        for probed in (False, True):
+            report = ServerReport(probed=probed, successful=False)
+            self.assertFalse(self.limit.update(report))
+        self.assertEqual(self.limit.per_second, 5.0)
+
     def test_unreadable_rate_leaves_the_former_one_in_force(self):
         self.limit.update(stating(5.0))
         self.assertFalse(self.limit.update(stating(None)))
--- a/caperstack/backend/connection.py
+++ b/caperstack/backend/connection.py
@@ -26,6 +26,8 @@
 IDLE_SECONDS = 5.0
 IDLE_MARGIN_SECONDS = 1.0
 
+SUCCESS_STATUSES = range(200, 300)
+
 METHODS_WITH_BODY = frozenset(("POST", "PUT", "PATCH"))
 
 
@@ -106,7 +108,8 @@
         self.framed = "Content-Length" in headers or "Transfer-Encoding" in headers
         if not self.stale:
             probed = not self._request_id
-            self._on_report(ServerReport.read(headers, self._dialect, probed))
+            successful = start_line.code in SUCCESS_STATUSES
+            self._on_report(ServerReport.read(headers, self._dialect, probed, successful))
 
     def data_received(self, chunk):
         """Collect a part of the body, up to the size limit."""
--- a/caperstack/backend/tests/test_client.py
+++ b/caperstack/backend/tests/test_client.py
@@ -89,6 +89,16 @@
         self.assertEqual((reports[0].rate_limit, reports[0].probed), (5.0, False))
         await client.stop()
 
+    async def test_report_tells_refusals_and_failures_from_successes(self):
+        server = ScriptedServer(GOOD, GOOD.replace(b"200 OK", b"503 Full"))
+        await server.start()
+        reports = []
+        client = BackendClient(server.address, 10, 1024, Dialect(rate_limit="Rate"), reports.append)
+        for _ in range(2):
+            await client.fetch(make_call())
+        self.assertEqual([report.successful for report in reports], [True, False])
+        await client.stop()
+
 
 class TestBackendClient(unittest.IsolatedAsyncioTestCase):
     """Tests of `BackendClient.fetch`."""
--- a/caperstack/calls/dialect.py
+++ b/caperstack/calls/dialect.py
@@ -137,6 +137,8 @@
         Whether the server states that it is leaving.
     probed : bool
         Whether the response is one of the health path.
+    successful : bool
+        Whether the status of the response is one of success.
     unreadable : list of UnreadableHeader
         Rate limit and leaving headers whose values could not be parsed.
     """
@@ -150,10 +152,11 @@
     rate_limit: float | None = None
     leaving: bool = False
     probed: bool = False
+    successful: bool = True
     unreadable: list = field(default_factory=list)
 
     @classmethod
-    def read(cls, headers, dialect, probed=False):
+    def read(cls, headers, dialect, probed=False, successful=True):
         """Return the report in response `headers`.
 
         Parameters
@@ -164,8 +167,10 @@
             Gives the names of the headers.
         probed : bool
             Whether the response is one of the health path.
+        successful : bool
+            Whether the status of the response is one of success.
         """
-        report = cls(_value(headers, dialect.instance), probed=probed)
+        report = cls(_value(headers, dialect.instance), probed=probed, successful=successful)
         report._read_load(_value(headers, dialect.load))
         report._read_rate_limit(_value(headers, dialect.rate_limit), dialect)
         report._read_leaving(_value(headers, dialect.leaving), dialect)
--- a/caperstack/platform/standin/instance.py
+++ b/caperstack/platform/standin/instance.py
@@ -56,6 +56,8 @@
         Stated in every response as the rate limit, if not empty.
     health_states_limit : bool
         Whether responses of the health path state the rate limit too.
+    rejections_state_limit : bool
+        Whether responses to requests that are rejected state it too.
     leaving : str
         Stated in every response as the leaving mark, if not empty.
     body : bytes
@@ -78,6 +80,7 @@
     cold_bears: float = 0.0
     rate_limit: str = ""
     health_states_limit: bool = True
+    rejections_state_limit: bool = True
     leaving: str = ""
     body: bytes = b"whole answer"
 
@@ -103,6 +106,8 @@
         How often each request id ran.
     ledger : list of Run
         Every request that ran, in the order of their starts.
+    arrivals : list of float
+        When each request for this instance arrived, rejected ones included.
     seen : list of dict
         The headers of each request that ran, with its method, target and body, except
         requests that crashed the server by overload.
@@ -130,6 +135,7 @@
     behaviour: Behaviour = field(default_factory=Behaviour)
     runs: Counter = field(default_factory=Counter)
     ledger: list = field(default_factory=list)
+    arrivals: list = field(default_factory=list)
     seen: list = field(default_factory=list)
     cancelled: int = 0
     misdirected: int = 0
@@ -185,10 +191,12 @@
         elif request.headers.get(DIALECT.target_instance, self.name) != self.name:
             self.misdirected += 1
             self._write(request, 421, b"", {})
-        elif self.behaviour.refuse:
-            self._write(request, 503, b"", {DIALECT.not_executed: "1"})
         else:
-            await self._run(request)
+            self.arrivals.append(now())
+            if self.behaviour.refuse:
+                self._write(request, 503, b"", {DIALECT.not_executed: "1"})
+            else:
+                await self._run(request)
 
     async def _run(self, request):
         request_id = request.headers.get(DIALECT.request_id, "")
@@ -249,7 +257,7 @@
         headers[DIALECT.instance] = self.name
         percent = round(self.behaviour.pace * 100)
         headers[DIALECT.load] = f"{self.running},0,{self.slots},{percent}"
-        if self.behaviour.rate_limit and self._states_limit(request):
+        if self.behaviour.rate_limit and self._states_limit(request, more):
             headers[DIALECT.rate_limit] = self.behaviour.rate_limit
         if self.behaviour.leaving:
             headers[DIALECT.leaving] = self.behaviour.leaving
@@ -258,8 +266,11 @@
             headers[DIALECT.request_id] = request_id
         return headers
 
-    def _states_limit(self, request):
-        return self.behaviour.health_states_limit or request.path != HEALTH_PATH
+    def _states_limit(self, request, headers):
+        """Return whether the response with `headers` to a request states the rate limit."""
+        if request.path == HEALTH_PATH:
+            return self.behaviour.health_states_limit
+        return self.behaviour.rejections_state_limit or DIALECT.not_executed not in headers
 
     def _write(self, request, status, body, more):
         headers = self._headers(request, more)
--- a/caperstack/platform/tests/test_statements.py
+++ b/caperstack/platform/tests/test_statements.py
@@ -69,9 +69,9 @@
         host.instance.behaviour.rate_limit = rate
         return now() + self.known_seconds
 
-    def most_runs(self, host, since):
-        """Return the highest number of runs in any window that begins after `since`."""
-        times = [run.at for run in host.instance.ledger if run.at >= since]
+    def most_arrivals(self, host, since):
+        """Return the highest number of requests in any window that begins after `since`."""
+        times = [at for at in host.instance.arrivals if at >= since]
         return max(
             (sum(first <= at < first + self.window_seconds for at in times) for first in times),
             default=0,
@@ -79,22 +79,22 @@
 
     def assert_rate_kept(self, host, rate, since):
         allowed = 1.5 * rate * self.window_seconds + 5
-        self.assertLessEqual(self.most_runs(host, since), allowed)
+        self.assertLessEqual(self.most_arrivals(host, since), allowed)
 
     async def test_limited_server_gets_its_rate_and_the_others_take_the_rest(self):
         """Guards against a server that gets its usual share of calls whatever rate it states."""
         in_force = self.state_rate(self.first, "5.3")
         replies = await self.send_stream("/list/", 60, 5.0)
         self.assert_rate_kept(self.first, 5.3, in_force)
-        self.assertGreaterEqual(self.most_runs(self.first, in_force), 10)
+        self.assertGreaterEqual(self.most_arrivals(self.first, in_force), 10)
         self.assertEqual({reply.code for reply in replies}, {200})
 
     async def test_rate_below_one_a_second_is_kept_and_bookings_run_elsewhere(self):
         """Guards against a low rate that is rounded to one call a second, or to none."""
         in_force = self.state_rate(self.first, "0.4")
         replies = await self.send_stream("/book/", 40, 5.0, method="POST")
-        self.assertLessEqual(self.most_runs(self.first, in_force), 4)
-        self.assertGreaterEqual(self.most_runs(self.first, in_force), 1)
+        self.assertLessEqual(self.most_arrivals(self.first, in_force), 4)
+        self.assertGreaterEqual(self.most_arrivals(self.first, in_force), 1)
         self.assertEqual({reply.code for reply in replies}, {200})
 
     async def test_service_of_limited_servers_refuses_the_rest_at_once(self):
@@ -150,6 +150,27 @@
         replies = await self.send_stream("/rates/", 40, 1.0)
         self.assertEqual({reply.code for reply in replies}, {200})
 
+    async def test_server_that_has_withdrawn_its_rate_gets_its_share_again(self):
+        """Guards against entries that avoid a server until the turn that they last knew."""
+        self.state_rate(self.first, "0.2")
+        await self.send_stream("/list/", 60, 2.0)
+        self.state_rate(self.first, "")
+        before = len(self.first.instance.arrivals)
+        await self.send_stream("/list/", 60, self.used_again_seconds)
+        self.assertGreater(len(self.first.instance.arrivals) - before, 20)
+
+    async def test_rate_is_kept_while_requests_are_rejected(self):
+        """Guards against a limit that rejections, which do not state it, lift for a moment."""
+        behaviour = self.third.instance.behaviour
+        behaviour.rejections_state_limit = False
+        behaviour.health_states_limit = False
+        in_force = self.state_rate(self.third, "2")
+        await self.send_stream("/rates/", 40, 0.6)
+        for refuse in (True, False) * 3:
+            behaviour.refuse = refuse
+            await self.send_stream("/rates/", 40, 0.6)
+        self.assert_rate_kept(self.third, 2.0, in_force)
+
     async def test_new_instance_at_the_address_is_not_limited(self):
         """Guards against a rate that outlives the server that has stated it."""
         self.state_rate(self.third, "0.2")
