A health path that stops stating the rate no longer withdraws it again and again

Cause: the health path had stated the rate, so each of its answers without it withdrew it, twelve times a second and before each start; each answer to a call stated it anew. Change: an answer to a call that states a rate which the health path has just withdrawn shows that the health path no longer tells, and its answers withdraw nothing until it states one again.

--- a/caperstack/admission/rate.py
+++ b/caperstack/admission/rate.py
@@ -131,7 +131,9 @@
         if report.states_rate_limit:
             if report.rate_limit is None:
                 return False
-            self._stated_by_probes |= report.probed
+            # An answer to a call that states a rate which the health path has withdrawn shows
+            # that the health path no longer tells.
+            self._stated_by_probes = report.probed or (self._stated_by_probes and self.active)
         elif not report.successful or (report.probed and not self._stated_by_probes):
             return False
         self._heard = True
--- a/caperstack/admission/tests/test_rate.py
+++ b/caperstack/admission/tests/test_rate.py
@@ -61,6 +61,15 @@
             self.assertFalse(self.limit.update(report))
         self.assertEqual(self.limit.per_second, 5.0)
 
+    def test_health_path_that_stops_stating_the_rate_does_not_withdraw_it_for_long(self):
+        """Guards against a limit that each health check lifts while answers to calls state it."""
+        self.limit.update(stating(5.0, probed=True))
+        self.assertTrue(self.limit.update(silent(probed=True)))
+        self.limit.update(stating(5.0))
+        self.assertFalse(self.limit.update(silent(probed=True)))
+        self.assertEqual(self.limit.per_second, 5.0)
+        self.assertTrue(self.limit.update(silent()))
+
     def test_unreadable_rate_leaves_the_former_one_in_force(self):
         self.limit.update(stating(5.0))
         self.assertFalse(self.limit.update(stating(None)))
