A route of an unknown kind runs at most once and costs no other route anything

Cause: `platform.items` raised for a kind outside of its table, and a configuration is taken whole or not at all.

Change: `upload` is known as a kind that runs at most once. Any other kind is read so too, which is safe whatever it means; the node logs `unknown route kind` once for each route and counts `unknown_route_kinds`. All other malformed fields still leave the last valid version in force.

--- a/caperstack/platform/fleet.py
+++ b/caperstack/platform/fleet.py
@@ -37,10 +37,12 @@
         self._changed_hosts = {}
         self._services = None
         self._unconfigured = set()
+        self._unknown_kinds = frozenset()
 
     async def start(self, kernel):
         """Subscribe to changes of the settings."""
         self._events = kernel.find("events")
+        self._metrics = kernel.find("metrics")
         self._settings = kernel.find("settings")
         self._members = kernel.find("members")
         self._owner = kernel.find("owner")
@@ -83,6 +85,7 @@
         if held.path == CONFIGURATION_KEY:
             self._apply_limits(held.parsed)
             self._update_services(held.parsed)
+            self._report_unknown_kinds(held.parsed)
         elif isinstance(held.parsed, ServerEntry | None):
             self._index_entry(held.path, held.parsed)
 
@@ -108,6 +111,20 @@
             self._services = services
             self._changed_hosts.update(dict.fromkeys(self._entries_by_host))
 
+    def _report_unknown_kinds(self, configuration):
+        """Log once which routes are of a kind that this version does not know."""
+        known = self._unknown_kinds
+        self._unknown_kinds = frozenset(configuration.unknown_kinds)
+        for unknown in sorted(self._unknown_kinds - known, key=lambda unknown: unknown.route):
+            self._metrics.count("unknown_route_kinds")
+            self._events.log_state(
+                "unknown route kind",
+                route=unknown.route,
+                route_kind=unknown.kind,
+                version=configuration.version,
+                outcome="runs at most once",
+            )
+
     def _index_entry(self, path, entry):
         """Replace the entry at `path` in the index; ``None`` removes it."""
         former = self._entries.pop(path, None)
--- a/caperstack/platform/items.py
+++ b/caperstack/platform/items.py
@@ -13,9 +13,10 @@
 from caperstack.settings.restores import Restores
 from caperstack.settings.revisions import era_of
 
-__all__ = ["Configuration", "StoreCodec", "decode_configuration"]
+__all__ = ["Configuration", "StoreCodec", "UnknownKind", "decode_configuration"]
 
-IDEMPOTENT_BY_KIND = {"idempotent": True, "non_idempotent": False}
+#: Whether requests of a kind of route may run more than once.  Uploads carry large bodies.
+IDEMPOTENT_BY_KIND = {"idempotent": True, "non_idempotent": False, "upload": False}
 
 #: The rate of probes of the health path, per second, while no answer to a call shows the
 #: slowdown; a server that never reports its load is probed less often.
@@ -98,12 +99,27 @@
     cold_seconds: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class UnknownKind:
+    """A route whose kind this version does not know; its requests run at most once."""
+
+    route: str
+    kind: str
+
+
 @dataclass(slots=True)
 class Configuration:
-    """One version of the operators' configuration."""
+    """One version of the operators' configuration.
+
+    Attributes
+    ----------
+    unknown_kinds : tuple of UnknownKind
+        The routes of a kind that this version does not know.
+    """
 
     version: int
     routes: tuple
+    unknown_kinds: tuple = ()
     services: dict = field(default_factory=dict)
     body_bytes: int = 0
     idle_seconds: float = 0.0
@@ -233,9 +249,13 @@
 
 def _convert_configuration(wire):
     services = {row.name: _convert_limits(row) for row in _decode_rows(wire.services, _ServiceRow)}
+    rows = list(_decode_rows(wire.routes, _RouteRow))
     return Configuration(
         version=wire.version,
-        routes=tuple(_convert_route(row) for row in _decode_rows(wire.routes, _RouteRow)),
+        routes=tuple(_convert_route(row) for row in rows),
+        unknown_kinds=tuple(
+            UnknownKind(row.name, row.kind) for row in rows if row.kind not in IDEMPOTENT_BY_KIND
+        ),
         services=services,
         body_bytes=wire.limits.body_bytes,
         idle_seconds=parse_duration(wire.limits.idle, "limits.idleTimeout"),
@@ -259,8 +279,6 @@
 
 def _convert_route(row):
     field_path = f"routes.{row.name}"
-    if row.kind not in IDEMPOTENT_BY_KIND:
-        raise ConfigurationError(f"unknown: {row.kind!r}", step=field_path, peer="kind")
     if row.split:
         parts = tuple(WeightedService(part.service, part.weight) for part in row.split)
     elif row.service:
@@ -272,7 +290,8 @@
         parts=parts,
         name=row.name,
         host=row.host,
-        idempotent=IDEMPOTENT_BY_KIND[row.kind],
+        # An unknown kind costs its own route the repeats, and no other route anything.
+        idempotent=IDEMPOTENT_BY_KIND.get(row.kind, False),
         criticality=-row.priority,
         deadline_seconds=parse_duration(row.timeout, f"{field_path}.timeout"),
         objective_seconds=parse_duration(row.objective, f"{field_path}.targetLatency"),
