An unmarked refusal of a request that may run once is answered 502, not as not run

What callers would see: a backend server answers 429 or 503 (or 408, 421) without the header that marks what it has not run; the node passed the status on, and a caller that takes these statuses for a promise sends a booking again that has run.

Cause: the answer of a backend server was passed on whatever it promised. Each other place that ends a call with such a status was read for its proof, and none was changed: owners refuse before dispatch (`Owner._admit`, `_fetch_body`, `_run_alone`, `SlotGate`), or revoke what they have not dispatched (`CallMemory.resolve`); entries refuse what no owner got (`Dispatcher`: no member, link never sent; quarantine, only if nothing else is known of the call), and `_outcome_rank` puts "not run" last; marked answers and 421 to a named instance are the server's own proof; a connection that was refused was never sent on; `Exchange` refuses bodies it has not passed on; `give_up` says 504.

Change: where the dialect has a mark, an unmarked 408, 421, 429 or 503 to a request that may not run twice counts as an answer without proof: 502, outcome unknown. Idempotent requests get the answer as it is. The test fails on the code before (the 503 came back as the answer).

--- a/caperstack/backend/client.py
+++ b/caperstack/backend/client.py
@@ -30,6 +30,9 @@
 MISDIRECTED = 421
 HEALTHY = 200
 
+#: Statuses from which callers conclude that the request has not run and never will.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+
 
 @dataclass(frozen=True, slots=True)
 class ServerHealth:
@@ -157,7 +160,8 @@
         Raises
         ------
         BackendError
-            If there was no complete response.  Its ``sent`` attribute tells whether
+            If there was no complete response, or one whose status says that a request that
+            may not run twice has not run, without proof.  Its ``sent`` attribute tells whether
             the backend server may have received the request.
         """
         async with self._permits:
@@ -165,7 +169,21 @@
             connection = self._take_idle(at_most_once) or await self._open(call.deadline)
             headers = self._headers(call, instance)
             answer = await self._perform(connection, call, headers)
-        return self._refusal(answer) or self._without_node_headers(answer)
+        refusal = self._refusal(answer)
+        if refusal is None and at_most_once and self._promises_falsely(answer.status):
+            reason = f"status {answer.status} without proof that it did not run"
+            raise BackendError(reason, step="answer", peer=self._address)
+        return refusal or self._without_node_headers(answer)
+
+    def _promises_falsely(self, status):
+        """Return whether callers would take `status` for a promise that nothing proves.
+
+        Notes
+        -----
+        Where backend servers mark what they have not run, an unmarked answer may come from a
+        request that ran, whatever its status.
+        """
+        return bool(self._dialect.not_executed) and status in NOT_RUN_STATUSES
 
     async def probe(self, path, deadline):
         """Send ``GET path``, without a request id, and return its `ServerHealth`.
--- a/caperstack/backend/tests/test_client.py
+++ b/caperstack/backend/tests/test_client.py
@@ -8,7 +8,7 @@
 from caperstack.backend.client import BackendClient
 from caperstack.bench.fleet import free_addresses
 from caperstack.calls.dialect import Dialect
-from caperstack.calls.model import Call
+from caperstack.calls.model import Call, NotRun
 from caperstack.clock import deadline_after, now
 from caperstack.exception import BackendError
 
@@ -100,6 +100,35 @@
         await client.stop()
 
 
+class TestUnprovenRefusals(unittest.IsolatedAsyncioTestCase):
+    """Statuses that callers take for a promise that the request has not run."""
+
+    async def fetch(self, reply, idempotent=False):
+        server = ScriptedServer(reply)
+        await server.start()
+        client = BackendClient(server.address, 10, 1024, Dialect(not_executed="Not-Run"))
+        self.addAsyncCleanup(client.stop)
+        return await client.fetch(make_call(idempotent=idempotent))
+
+    async def test_unmarked_refusal_of_a_non_idempotent_request_promises_nothing(self):
+        """Guards against a 503 for a request that ran, which its caller would send again."""
+        for status in (408, 421, 429, 503):
+            reply = GOOD.replace(b"200 OK", b"%d No" % status)
+            with self.assertRaises(BackendError) as caught:
+                await self.fetch(reply)
+            self.assertTrue(caught.exception.sent)
+
+    async def test_marked_refusal_is_reported_as_not_run(self):
+        marked = GOOD.replace(b"200 OK\r\n", b"503 No\r\nNot-Run: 1\r\n")
+        self.assertIsInstance(await self.fetch(marked), NotRun)
+
+    async def test_other_answers_pass_unchanged(self):
+        refused = GOOD.replace(b"200 OK", b"503 No")
+        self.assertEqual((await self.fetch(refused, idempotent=True)).status, 503)
+        failed = GOOD.replace(b"200 OK", b"500 No")
+        self.assertEqual((await self.fetch(failed)).status, 500)
+
+
 class TestBackendClient(unittest.IsolatedAsyncioTestCase):
     """Tests of `BackendClient.fetch`."""
 
