Large bodies are fetched in turn over thin links, before their calls hold a slot

Page fetches, which carry no body, were refused as often as uploads.

Cause: uploads of 60 kB on average go to 7 hosts with links of 6.5 Mbit/s, and each offer carried the body, 2.2 offers a call. The way from entry to owner took 173 ms for uploads and 95 ms for the nested calls to the same hosts (p90 446, 255), 7 ms to all others. Runs that waited for these calls held their slots for 291 ms in place of some 150, and runs that waited for those 166 in place of 105: three services full for one link.

Change: hosts tell the rate of their link (`limits.link_bytes_per_second`). A body that takes over 20 ms of it never comes with an offer: the owner gives the bodies of calls that can be in time their turns, and the call competes for a slot once its body is there.

The fakes of two tests get the fields that a withheld body has now.

--- a/caperstack/admission/gate.py
+++ b/caperstack/admission/gate.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from dataclasses import dataclass
 
 from caperstack.admission.knee import Knee
 from caperstack.admission.limit import AdaptiveLimit
@@ -10,7 +11,7 @@
 from caperstack.calls.model import SLOW_PHASE_LEFT_SECONDS, NotRun
 from caperstack.clock import now, time_left
 
-__all__ = ["SlotGate"]
+__all__ = ["Outlook", "SlotGate"]
 
 #: Random extension of the advised retry delay, as a share of it, so that refused callers
 #: don't all retry at the same moment.
@@ -39,6 +40,22 @@
 QUEUE_PER_SLOT = 16
 
 
+@dataclass(frozen=True, slots=True)
+class Outlook:
+    """What a call would find at the gate now.
+
+    Attributes
+    ----------
+    wait_seconds : float
+        Expected wait for a slot.
+    last_start : float
+        Time until which the call may wait.
+    """
+
+    wait_seconds: float
+    last_start: float
+
+
 class SlotGate:
     """Limit the calls that run concurrently at one backend server, and queue the others.
 
@@ -118,6 +135,16 @@
         """Refuse every waiting call with `reason`."""
         self._queue.refuse_all(reason)
 
+    def outlook(self, call):
+        """Return the `Outlook` of `call`, without admitting it."""
+        service_seconds = self._expected_seconds(call)
+        wait = self._expected_wait(call, self._queue.ahead_of(call, service_seconds))
+        return Outlook(wait, self._last_start(call, service_seconds))
+
+    def retry_after(self, call, wait):
+        """Return the advised retry delay in seconds for a call that would have to wait `wait`."""
+        return self._retry_after(call, self._expected_seconds(call), wait)
+
     async def admit(self, call, on_wait):
         """Acquire a slot for `call`, waiting for one if need be.
 
--- a/caperstack/admission/owner.py
+++ b/caperstack/admission/owner.py
@@ -3,6 +3,7 @@
 from caperstack.admission.arrivals import ArrivalChecks
 from caperstack.admission.execution import Execution
 from caperstack.admission.memory import CallMemory
+from caperstack.admission.staging import BodyStaging
 from caperstack.admission.tracker import ServerTracker
 from caperstack.calls.model import (
     NotRun,
@@ -37,10 +38,13 @@
     client : object
         With ``async fetch(call, instance)``, as
         `caperstack.backend.client.BackendClient`.
+    link : caperstack.transfers.link.LinkBudget, optional
+        What bodies may use of the host's link; unknown if not given.
     """
 
-    def __init__(self, settings, client):
-        super().__init__(settings, client)
+    def __init__(self, settings, client, link=None):
+        super().__init__(settings, client, link)
+        self._staging = BodyStaging(self._link, self._transfers, self._gate)
         self._execution = Execution(
             client,
             self._gate,
@@ -58,6 +62,7 @@
         """Look up the services that the owner depends on."""
         await super().start(kernel)
         await self._execution.start(kernel)
+        await self._staging.start(kernel)
         self._arrivals = ArrivalChecks(
             self._status,
             self._breaker,
@@ -114,7 +119,7 @@
         self._memory.abandon(origin, number)
 
     async def _admit_and_run(self, call, record, queued):
-        refusal = await self._admit(call, queued)
+        refusal = await self._stage_body(call, queued) or await self._admit(call, queued)
         if refusal is not None:
             self._record_refusal(call, refusal)
             return refusal
@@ -131,6 +136,12 @@
         finally:
             self._gate.release(sent=record.dispatched)
 
+    async def _stage_body(self, call, queued):
+        """Fetch a large body before the call competes for a slot; return the refusal or None."""
+        if not self._staging.applies(call):
+            return None
+        return self._arrivals.refusal(call) or await self._staging.fetch(call, queued)
+
     async def _fetch_body(self, call):
         """Fetch the body that the entry withheld; return a `NotRun` if that fails."""
         if call.withheld is None:
--- a/caperstack/admission/tests/test_owner.py
+++ b/caperstack/admission/tests/test_owner.py
@@ -111,7 +111,7 @@
 
         for number in range(4):
             call = self.call(number)
-            call.withheld = SimpleNamespace(fetch=lost)
+            call.withheld = SimpleNamespace(fetch=lost, size=0, sender_bytes_per_second=0.0)
             refused = await self.owner.run(call)
             self.assertEqual(type(refused), NotRun)
             self.assertIn("body did not come", refused.reason)
@@ -127,7 +127,7 @@
 
         running = [self.start_call(number) for number in (1, 2)]
         call = self.call(3)
-        call.withheld = SimpleNamespace(fetch=fetch)
+        call.withheld = SimpleNamespace(fetch=fetch, size=0, sender_bytes_per_second=0.0)
         waiting = asyncio.create_task(self.owner.run(call))
         await self.run_pending()
         self.assertEqual(brought, [])
--- a/caperstack/admission/tests/test_rate.py
+++ b/caperstack/admission/tests/test_rate.py
@@ -349,7 +349,7 @@
             owner.record_report(stating(0.5))
             await asyncio.sleep(3.0)
             call = self.call("without body")
-            call.withheld = SimpleNamespace(fetch=lost)
+            call.withheld = SimpleNamespace(fetch=lost, size=0, sender_bytes_per_second=0.0)
             self.assertIsInstance(await owner.run(call), NotRun)
             self.assertIsInstance(await owner.run(self.call("next")), Answered)
             self.assertEqual(server.ids, ["next"])
--- a/caperstack/admission/tracker.py
+++ b/caperstack/admission/tracker.py
@@ -12,6 +12,8 @@
 from caperstack.admission.status import ServerStatus
 from caperstack.calls.model import Load, ServerState
 from caperstack.quarantine.crash import CrashDetector
+from caperstack.transfers.link import LinkBudget
+from caperstack.transfers.turns import TransferTurns
 
 __all__ = ["ServerTracker"]
 
@@ -26,10 +28,14 @@
     client : object
         With ``restart()`` and ``async listens(deadline)``, as
         `caperstack.backend.client.BackendClient`.
+    link : caperstack.transfers.link.LinkBudget, optional
+        What bodies may use of the host's link; unknown if not given.
     """
 
-    def __init__(self, settings, client):
+    def __init__(self, settings, client, link=None):
         self._client = client
+        self._link = link or LinkBudget()
+        self._transfers = TransferTurns(self._link)
         self._times = ServiceTimes()
         self._slowdown = HostSlowdown()
         self._cold = ColdLimit()
@@ -93,6 +99,7 @@
             self._rate.per_thousand_seconds,
             math.ceil(self._gate.rate_wait * 1000),
             self._status.leaving_run,
+            math.ceil(self._transfers.expected_wait() * 1000),
         )
 
     async def start(self, kernel):
--- a/caperstack/calls/model.py
+++ b/caperstack/calls/model.py
@@ -111,6 +111,8 @@
     leaving_run : str
         The `run_id` of the backend server if it states in its answers that it is
         leaving; empty otherwise.
+    link_wait_ms : int
+        Milliseconds until the host's link has room for a further large body.
     """
 
     in_flight: int = 0
@@ -124,6 +126,7 @@
     rate_limit: int = 0
     rate_wait_ms: int = 0
     leaving_run: str = ""
+    link_wait_ms: int = 0
 
 
 @dataclass(slots=True)
--- a/caperstack/config/node.py
+++ b/caperstack/config/node.py
@@ -49,6 +49,8 @@
         Time after which an idle connection of a caller is closed.
     drain_seconds : float
         Maximum duration of a drain.
+    link_bytes_per_second : float
+        What the host's link sustains in each direction; 0 if unknown.
     """
 
     body_bytes: int = 16 * MEBIBYTE
@@ -56,6 +58,7 @@
     body_seconds: float = 30.0
     idle_seconds: float = 120.0
     drain_seconds: float = 30.0
+    link_bytes_per_second: float = 0.0
 
 
 @dataclass(slots=True)
--- a/caperstack/config/start.py
+++ b/caperstack/config/start.py
@@ -79,6 +79,7 @@
     body_seconds: float = Field(30.0, gt=0, le=600)
     idle_seconds: float = Field(120.0, gt=0, le=3600)
     drain_seconds: float = Field(30.0, gt=0, le=600)
+    link_bytes_per_second: float = Field(0.0, ge=0)
 
 
 class StartSettings(_Model):
--- a/caperstack/node/assemble.py
+++ b/caperstack/node/assemble.py
@@ -24,6 +24,7 @@
 from caperstack.settings.reader import SettingsReader
 from caperstack.settings.store import SettingsStore
 from caperstack.settings.sync import SettingsSync
+from caperstack.transfers.link import LinkBudget
 
 __all__ = ["assemble"]
 
@@ -41,6 +42,7 @@
     kernel = Kernel()
     security = PeerSecurity(here.security)
     client = BackendClient(here.backend.address, here.backend.connections, here.limits.body_bytes)
+    link = LinkBudget(here.limits.link_bytes_per_second)
     kernel.register("metrics", Metrics(here.host))
     kernel.register("events", EventRing(here.host, log))
     kernel.register("pauses", PauseDetector())
@@ -49,7 +51,7 @@
     kernel.register("members", Members(here))
     kernel.register("backend client", client)
     kernel.register("suspects", Suspects())
-    kernel.register("owner", Owner(here.backend, client))
+    kernel.register("owner", Owner(here.backend, client, link))
     kernel.register("keeper", Keeper(here))
     kernel.register("links", Links(here, security))
     kernel.register("peer port", PeerPort(here, security))
@@ -59,7 +61,7 @@
     kernel.register("suspect exchange", SuspectExchange())
     kernel.register("settings sync", SettingsSync(here))
     kernel.register("settings reader", SettingsReader(here))
-    kernel.register("dispatcher", Dispatcher(here))
+    kernel.register("dispatcher", Dispatcher(here, link=link))
     kernel.register("claims", KeyClaims(here))
     kernel.register("callers", CallerPort(here))
     kernel.register("operators", OperatorPort(here))
--- a/caperstack/peers/link.py
+++ b/caperstack/peers/link.py
@@ -142,10 +142,15 @@
         """
         connection = await self._open(call.deadline)
         future = self._expect(call.id)
-        withheld = self._member.estimate.should_withhold_body(len(call.body))
+        budget = self._links.budget
+        estimate = self._member.estimate
+        large = budget.is_large(len(call.body), estimate.body_bytes_per_second)
+        withheld = large or estimate.should_withhold_body(len(call.body))
         self._calls[call.id] = call
         try:
-            message = call_message(call, self._links.events.clock.tick(), withheld)
+            message = call_message(
+                call, self._links.events.clock.tick(), withheld, budget.bytes_per_second
+            )
             async with asyncio.timeout_at(call.deadline + DEADLINE_GRACE_SECONDS):
                 await connection.send_in_chunks(message, b"" if withheld else call.body)
                 message, body = await future
@@ -289,6 +294,7 @@
             reason = f"it is {hello.host}, not {self._member.host}"
             raise FrameError(reason, step="handshake", peer=self._member.peer_address)
         self._member.incarnation = max(self._member.incarnation, hello.incarnation)
+        self._member.estimate.body_bytes_per_second = hello.body_bytes_per_second
         self._apply_load(hello.load)
         if self._failures:
             self._links.events.state("link", "down", "up", self._member.host)
@@ -353,17 +359,28 @@
     def _(self, message: SendBody, body):
         call = self._calls.get(message.id)
         if call is not None:
-            task = asyncio.create_task(self._send_body(call, self._connection))
+            sending = self._send_body(call, self._connection, message.bytes_per_second)
+            task = asyncio.create_task(sending)
             self._sending.add(task)
             task.add_done_callback(self._sending.discard)
 
-    async def _send_body(self, call, connection):
+    async def _send_body(self, call, connection, bytes_per_second):
         try:
+            if bytes_per_second:
+                await self._send_body_in_pieces(call, connection, bytes_per_second)
+                return
             await connection.send_in_chunks(CallBody(call.id, len(call.body)), call.body)
         except (PeerError, ConnectionError):
             # The owner notices the lost connection itself and doesn't run the call.
             self._links.metrics.count("unsent_notices")
 
+    async def _send_body_in_pieces(self, call, connection, bytes_per_second):
+        """Send the body at the granted rate, as long as the owner's answer is awaited."""
+        async for piece in self._links.pacer.pieces(call.body, bytes_per_second):
+            if call.id not in self._calls:
+                return
+            connection.send(CallBody(call.id, len(piece)), piece)
+
     @_handle_message.register
     def _(self, message: Pong, body):
         self._links.events.clock.merge(message.clock)
--- a/caperstack/peers/links.py
+++ b/caperstack/peers/links.py
@@ -7,6 +7,8 @@
 from caperstack.clock import wall_microseconds
 from caperstack.peers.link import PING_SECONDS, Link
 from caperstack.peers.translate import hello_message
+from caperstack.transfers.link import LinkBudget
+from caperstack.transfers.pacing import BodyPacer
 
 __all__ = ["Links"]
 
@@ -25,11 +27,17 @@
     ----------
     incarnation : int
         Wall clock time at which this node started, in microseconds.
+    budget : caperstack.transfers.link.LinkBudget
+        What bodies may use of this host's link.
+    pacer : caperstack.transfers.pacing.BodyPacer
+        Paces the large bodies that this node sends.
     """
 
     def __init__(self, here, security):
         self._here = here
         self._security = security
+        self.budget = LinkBudget(here.limits.link_bytes_per_second)
+        self.pacer = BodyPacer(self.budget)
         self._links = {}
         self._retiring = []
         self._hooks = []
@@ -63,7 +71,11 @@
         """Return the `Hello` message of this node to the peer `member`."""
         known = KnownRate(member.instance, member.estimate.rate_limit)
         return hello_message(
-            self._here, self.incarnation, self._owner.load, known if known.stated else None
+            self._here,
+            self.incarnation,
+            self._owner.load,
+            known if known.stated else None,
+            self.budget.bytes_per_second,
         )
 
     def client_tls(self):
--- a/caperstack/peers/messages.py
+++ b/caperstack/peers/messages.py
@@ -64,6 +64,7 @@
     rate_limit: int = 0
     rate_wait_ms: int = 0
     leaving_run: str = ""
+    link_wait_ms: int = 0
 
 
 class Hello(_MessageStruct, tag=1):
@@ -73,6 +74,7 @@
     which its node started, in microseconds.  ``known_run`` and ``known_rate`` are the
     last rate limit that the sender knows of the receiver's backend server, as in `LoadReport`,
     and the run of the server that stated it; without a limit they are empty and 0.
+    ``body_bytes_per_second`` is what large bodies may use of the sender's link, 0 if unknown.
     """
 
     version: int
@@ -84,6 +86,7 @@
     load: LoadReport
     known_run: str = ""
     known_rate: int = 0
+    body_bytes_per_second: int = 0
 
 
 class CallMessage(_MessageStruct, tag=2):
@@ -92,7 +95,9 @@
     ``left_us``, ``queue_us`` and ``objective_us`` are the times left until the call's
     deadline, the end of its wait in the queue and its latency objective.  ``depth`` is the
     depth in the call tree, 0 for the root, and ``last`` tells that no other backend server
-    is left to try.  If ``withheld`` is set, the body is sent only when the owner requests it.
+    is left to try.  If ``withheld`` is set, the body is sent only when the owner requests it;
+    ``body_bytes`` is its size then, and ``body_bytes_per_second`` the rate at which the sender's
+    link can send it, 0 if unknown.
     """
 
     id: int
@@ -115,16 +120,23 @@
     request_hash: int
     caller_hash: int
     withheld: bool = False
+    body_bytes: int = 0
+    body_bytes_per_second: int = 0
 
 
 class SendBody(_MessageStruct, tag=21):
-    """The owner requests the withheld body of a call that it is about to run."""
+    """The owner requests the withheld body of a call.
+
+    With ``bytes_per_second`` the body comes in several `CallBody` messages, at that rate at
+    most; without, in one.
+    """
 
     id: int
+    bytes_per_second: int = 0
 
 
 class CallBody(_MessageStruct, tag=22):
-    """The withheld body of a call, which follows the message."""
+    """The withheld body of a call, or the next piece of it, which follows the message."""
 
     id: int
     size: int
--- a/caperstack/peers/port.py
+++ b/caperstack/peers/port.py
@@ -191,7 +191,12 @@
         self._pending_handshakes += 1
         try:
             await connection.handshake(
-                hello_message(self._here, self._links.incarnation, self._owner.load)
+                hello_message(
+                    self._here,
+                    self._links.incarnation,
+                    self._owner.load,
+                    body_bytes_per_second=self._links.budget.bytes_per_second,
+                )
             )
         finally:
             self._pending_handshakes -= 1
@@ -224,7 +229,13 @@
         lateness = connection.transit.lateness(message.sent_us / 1e6, connection.arrival)
         call = call_from_message(message, body, connection.hello.host, connection.arrival, lateness)
         if message.withheld:
-            call.withheld = WithheldBody(self._withheld, connection, message.id)
+            call.withheld = WithheldBody(
+                self._withheld,
+                connection,
+                message.id,
+                message.body_bytes,
+                message.body_bytes_per_second,
+            )
         connection.interest.record_call()
         self._spawn(self._run(call, connection))
 
--- a/caperstack/peers/translate.py
+++ b/caperstack/peers/translate.py
@@ -45,6 +45,7 @@
         load.rate_limit,
         load.rate_wait_ms,
         load.leaving_run,
+        load.link_wait_ms,
     )
 
 
@@ -62,10 +63,11 @@
         report.rate_limit,
         report.rate_wait_ms,
         report.leaving_run,
+        report.link_wait_ms,
     )
 
 
-def call_message(call, clock, withheld=False):
+def call_message(call, clock, withheld=False, body_bytes_per_second=0.0):
     """Return the `CallMessage` of `call`, with its deadlines as time left.
 
     Parameters
@@ -76,6 +78,8 @@
         The sender's event clock, in microseconds.
     withheld : bool
         Whether the body is sent only when the owner requests it.
+    body_bytes_per_second : float
+        The rate at which a withheld body can be sent; 0 if unknown.
     """
     return CallMessage(
         call.id,
@@ -98,6 +102,8 @@
         call.fingerprint.request,
         call.fingerprint.caller,
         withheld,
+        len(call.body) if withheld else 0,
+        int(body_bytes_per_second) if withheld else 0,
     )
 
 
@@ -136,7 +142,7 @@
     )
 
 
-def hello_message(here, incarnation, load, known=None):
+def hello_message(here, incarnation, load, known=None, body_bytes_per_second=0.0):
     """Return the `Hello` message of this node.
 
     Parameters
@@ -149,6 +155,8 @@
         The load of its backend server.
     known : caperstack.admission.rate.KnownRate, optional
         The rate limit that this node knows of the receiver's backend server.
+    body_bytes_per_second : float, optional
+        What large bodies may use of this host's link; 0 if unknown.
     """
     return Hello(
         VERSION,
@@ -160,6 +168,7 @@
         load_report(load),
         known.run if known else "",
         known.per_thousand_seconds if known else 0,
+        int(body_bytes_per_second),
     )
 
 
--- a/caperstack/platform/assemble.py
+++ b/caperstack/platform/assemble.py
@@ -27,6 +27,7 @@
 from caperstack.settings.restores import Restores
 from caperstack.settings.store import SettingsStore
 from caperstack.settings.sync import SettingsSync
+from caperstack.transfers.link import LinkBudget
 
 __all__ = ["assemble"]
 
@@ -61,6 +62,7 @@
         here.backend.address, here.backend.connections, here.limits.body_bytes, DIALECT
     )
     fleet = FleetView(here, boot.cold_bound)
+    link = LinkBudget(here.limits.link_bytes_per_second)
     kernel.register("metrics", metrics)
     kernel.register("events", EventRing(here.host, log, RING_EVENTS))
     kernel.register("pauses", PauseDetector())
@@ -68,7 +70,7 @@
     kernel.register("members", Members(here))
     kernel.register("backend client", client)
     kernel.register("suspects", Suspects())
-    kernel.register("owner", Owner(here.backend, client))
+    kernel.register("owner", Owner(here.backend, client, link))
     kernel.register("links", Links(here, plain))
     kernel.register("peer port", PeerPort(here, plain))
     kernel.register("suspect exchange", SuspectExchange())
@@ -82,7 +84,7 @@
     kernel.register(
         "pace probe", HealthProbe(fleet.health_path, lambda: codec.measuring_per_second)
     )
-    kernel.register("dispatcher", Dispatcher(here, allowance=boot.allowance))
+    kernel.register("dispatcher", Dispatcher(here, allowance=boot.allowance, link=link))
     kernel.register("callers", CallerPort(here, DIALECT))
     kernel.register("ready", ReadyPort(boot.ready_address))
     kernel.register("operators", OperatorPort(here))
--- a/caperstack/platform/boot.py
+++ b/caperstack/platform/boot.py
@@ -2,6 +2,7 @@
 
 import os
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
@@ -29,6 +30,9 @@
 #: in seconds.  A slow host needs it to answer the open calls and to stop the services.
 KILL_MARGIN_SECONDS = 0.8
 
+#: Bytes in a megabit, the unit of the link's rate.
+BYTES_PER_MEGABIT = 125_000
+
 #: The offset of the metrics port from the first port of the range, which is the peer port.
 METRICS_PORT_OFFSET = 1
 
@@ -44,6 +48,10 @@
 
 class _Limits(msgspec.Struct):
     memory_mb: int = msgspec.field(name="memoryMb", default=256)
+    # Megabits per second in each direction; absent or null if the link has no known bound.
+    link_mbps: Annotated[float, msgspec.Meta(ge=0)] | None = msgspec.field(
+        name="linkMbps", default=None
+    )
 
 
 class _Boot(msgspec.Struct):
@@ -209,6 +217,7 @@
         ),
         limits=Limits(
             bodies_bytes=boot.limits.memory_mb * 1024 * 1024 // 4,
+            link_bytes_per_second=(boot.limits.link_mbps or 0.0) * BYTES_PER_MEGABIT,
         ),
     )
 
--- a/caperstack/platform/tests/test_decoding.py
+++ b/caperstack/platform/tests/test_decoding.py
@@ -125,9 +125,7 @@
         parsed = self.parse(configuration(*rows))
         known = kind in ("idempotent", "non_idempotent", "upload")
         self.assertEqual([r.path for r in parsed.routes], ["/a/", "/new/", "/c/"])
-        self.assertEqual(
-            [r.idempotent for r in parsed.routes], [True, kind == "idempotent", False]
-        )
+        self.assertEqual([r.idempotent for r in parsed.routes], [True, kind == "idempotent", False])
         self.assertEqual([u.kind for u in parsed.unknown_kinds], [] if known else [kind])
 
     def test_longest_prefix_wins_in_the_table(self):
--- a/caperstack/routing/candidates.py
+++ b/caperstack/routing/candidates.py
@@ -4,6 +4,7 @@
 from caperstack.membership.order import hash_number
 from caperstack.membership.subset import Subset
 from caperstack.routing.policies import Context, choose
+from caperstack.transfers.link import LinkBudget
 
 __all__ = ["Candidates", "QUEUE_WAIT_FACTOR", "baseline_seconds"]
 
@@ -24,11 +25,14 @@
         The identity and location of this node.
     rng : random.Random
         The source of randomness for the choice.
+    link : caperstack.transfers.link.LinkBudget, optional
+        What bodies may use of this host's link; unknown if not given.
     """
 
-    def __init__(self, here, rng):
+    def __init__(self, here, rng, link=None):
         self._here = here
         self._rng = rng
+        self._link = link or LinkBudget()
         self._subsets = {}
         self._members = None
         self._metrics = None
@@ -41,11 +45,11 @@
 
     def pick_available(self, call, state, tried):
         """Return the best untried member with an expected free slot, or ``None``."""
-        return self._choose(state, self.free(call, state, tried))
+        return self._choose(call, state, self.free(call, state, tried))
 
     def pick_any(self, call, state, failed):
         """Return the best member not in `failed`, even if it is busy, or ``None``."""
-        return self._choose(state, [m for m in self._accepting(call) if m not in failed])
+        return self._choose(call, state, [m for m in self._accepting(call) if m not in failed])
 
     def pick_deterministic(self, call):
         """Return the member that every entry picks for the request of `call`, or ``None``.
@@ -104,13 +108,34 @@
             if member not in tried
             and not member.estimate.slowed
             and member.estimate.expected_wait(baseline) <= QUEUE_WAIT_FACTOR * baseline
+            and self._link_wait(call, member) <= QUEUE_WAIT_FACTOR * baseline
         ]
 
-    def _choose(self, state, members):
+    def _link_wait(self, call, member):
+        """Return the seconds until the link of the member's host has room for the call's body."""
+        if member.host == self._here.host:
+            return 0.0
+        rate = member.estimate.body_bytes_per_second
+        return member.estimate.link_wait if self._link.is_large(len(call.body), rate) else 0.0
+
+    def _body_seconds(self, call, member):
+        """Return the seconds until the call's body would be at the member's host."""
+        if member.host == self._here.host:
+            return 0.0
+        transfer = self._link.seconds(len(call.body), member.estimate.body_bytes_per_second)
+        return self._link_wait(call, member) + transfer
+
+    def _choose(self, call, state, members):
         if not members:
             return None
         baseline = baseline_seconds(members, state)
-        context = Context(self._here.zone, self._here.region, baseline, self._rng)
+        context = Context(
+            self._here.zone,
+            self._here.region,
+            baseline,
+            self._rng,
+            lambda member: self._body_seconds(call, member),
+        )
         return choose(state.policy, self._healthy(members), context)
 
     def _healthy(self, members):
--- a/caperstack/routing/dispatch.py
+++ b/caperstack/routing/dispatch.py
@@ -30,11 +30,11 @@
     another owner only if the previous attempt provably did not run.
     """
 
-    def __init__(self, here, rng=None, allowance=None):
+    def __init__(self, here, rng=None, allowance=None, link=None):
         self._allowance = allowance
         self._call_ids = call_ids()
         self._services = {}
-        self.candidates = Candidates(here, rng or random.Random())
+        self.candidates = Candidates(here, rng or random.Random(), link)
 
     async def start(self, kernel):
         """Look up the services that the dispatcher depends on."""
--- a/caperstack/routing/estimates.py
+++ b/caperstack/routing/estimates.py
@@ -61,10 +61,13 @@
     ----------
     in_flight : int
         This entry's own calls in flight to the server.
+    body_bytes_per_second : float
+        What large bodies may use of the link of the server's host; 0 if unknown.
     """
 
     def __init__(self):
         self.in_flight = 0
+        self.body_bytes_per_second = 0.0
         self._load = Load(limit=INITIAL_LIMIT)
         self.restart()
 
@@ -80,6 +83,7 @@
         self._in_flight_at_report = self.in_flight
         self._reported_at = 0.0
         self._rate_opens_at = 0.0
+        self._link_free_at = 0.0
         self._published = 0
         self._published_until = 0.0
         self._refused = 0.0
@@ -172,6 +176,11 @@
         slot_wait = self._service_seconds(baseline) * max(0.0, self._occupancy() - 1.0)
         return max(slot_wait, self._rate_wait())
 
+    @property
+    def link_wait(self):
+        """The seconds until the host's link has room for a further large body."""
+        return max(0.0, time_left(self._link_free_at))
+
     def _rate_wait(self):
         """Return the seconds until the rate that the server states lets a further call start."""
         return max(0.0, time_left(self._rate_opens_at))
@@ -218,6 +227,7 @@
         self._in_flight_at_report = self.in_flight
         self._reported_at = now()
         self._rate_opens_at = deadline_after(load.rate_wait_ms / 1000)
+        self._link_free_at = deadline_after(load.link_wait_ms / 1000)
         if now() >= self._published_until:
             self._published = load.published
             self._published_until = deadline_after(PUBLISHED_SECONDS)
--- a/caperstack/routing/policies.py
+++ b/caperstack/routing/policies.py
@@ -28,12 +28,16 @@
 
 @dataclass(slots=True)
 class Context:
-    """Location of the entry, baseline duration of the service, and source of randomness."""
+    """Location of the entry, baseline duration of the service, and source of randomness.
+
+    ``body_seconds(member)`` is how long the call's body takes to the member's host.
+    """
 
     zone: str
     region: str
     baseline_seconds: float
     rng: object
+    body_seconds: object = lambda _member: 0.0
 
 
 @dataclass
@@ -123,7 +127,10 @@
 def _(policy: LoadAware, members, context):
     sample = members if len(members) <= SAMPLE_SIZE else context.rng.sample(members, SAMPLE_SIZE)
     baseline = context.baseline_seconds
-    scores = [m.estimate.expected_seconds(baseline) + _hop_seconds(m, context) for m in sample]
+    scores = [
+        m.estimate.expected_seconds(baseline) + _hop_seconds(m, context) + context.body_seconds(m)
+        for m in sample
+    ]
     threshold = min(scores) * NEAR_BEST_FACTOR
     near = [m for m, score in zip(sample, scores, strict=True) if score <= threshold]
     # Prefer the entry's zone among equals, since traffic between zones is billed.
