Nested calls are as urgent as the run that waits for them and share its time

Cause: an owner judged a nested call by the short objective of its own route (120 to 180 ms) and refused it when a slot would come later, though the run that waited had 300 to 800 ms left; and it ranked equal with calls that had not begun. Ruled out: lost nested calls (9 of 1,095), failing servers.

Change: the node beside a backend server learns which routes its runs call (`caperstack.trees`) and gives these calls the urgency of the run and three fifths of its time; owners let them go before calls of the same urgency that have not begun.

--- a/caperstack/admission/execution.py
+++ b/caperstack/admission/execution.py
@@ -29,9 +29,11 @@
         Provides the instance to which calls are addressed; is notified of its answers.
     watch : caperstack.quarantine.crash.CrashDetector
         Tracks the running calls, and decides whether a call was lost in a crash.
+    runs : caperstack.trees.runs.RunningCalls
+        Receives the start and the end of each call.
     """
 
-    def __init__(self, client, gate, times, slowdown, breaker, status, watch):
+    def __init__(self, client, gate, times, slowdown, breaker, status, watch, runs):
         self._client = client
         self._gate = gate
         self._times = times
@@ -39,6 +41,7 @@
         self._breaker = breaker
         self._status = status
         self._watch = watch
+        self._runs = runs
         self._metrics = None
         self._events = None
         self._suspects = None
@@ -67,6 +70,7 @@
         result = BackendResult.UNANSWERED
         begun = now()
         self._watch.begin(call)
+        self._runs.begin(call)
         try:
             answer = await self._client.fetch(call, self._status.instance)
             if isinstance(answer, NotRun):
@@ -90,6 +94,7 @@
             return self._failure(call, error, crash)
         finally:
             self._watch.finish(call, result)
+            self._runs.end(call)
             ratio = self._times.end((call.origin, call.id), is_sample)
             if ratio and self._gate.record_time(call, ratio):
                 self._events.state("calls at once", "other", self._gate.limit)
--- a/caperstack/admission/owner.py
+++ b/caperstack/admission/owner.py
@@ -12,6 +12,7 @@
 from caperstack.clock import deadline_after, now, time_left
 from caperstack.exception import PeerError
 from caperstack.quarantine.suspects import Verdict
+from caperstack.trees.runs import RunningCalls
 
 __all__ = ["Owner"]
 
@@ -40,11 +41,17 @@
         `caperstack.backend.client.BackendClient`.
     link : caperstack.transfers.link.LinkBudget, optional
         What bodies may use of the host's link; unknown if not given.
+
+    Attributes
+    ----------
+    running_calls : caperstack.trees.runs.RunningCalls
+        The calls that the backend server runs now.
     """
 
     def __init__(self, settings, client, link=None):
         super().__init__(settings, client, link)
         self._staging = BodyStaging(self._link, self._transfers, self._gate)
+        self.running_calls = RunningCalls()
         self._execution = Execution(
             client,
             self._gate,
@@ -53,6 +60,7 @@
             self._breaker,
             self._status,
             self._watch,
+            self.running_calls,
         )
         self._memory = CallMemory()
         self._arrivals = None
--- a/caperstack/admission/queue.py
+++ b/caperstack/admission/queue.py
@@ -60,9 +60,12 @@
         elsewhere and waits for them.  Otherwise a call of 55 ms, which is late after a tenth
         of a second, would be ranked behind calls of 550 ms and refused, and the booking
         that waits for it and has run for a second would fail (5 of 27 bookings in a recovery).
+
+        A nested call goes before calls of its criticality that have not begun: the run that
+        waits for it holds a slot, and its work is lost if the call is.
         """
         late = moment + self.service_seconds > self.due_at and self.service_seconds > short_seconds
-        return (late, -self.call.criticality, self.due_at, self.sequence)
+        return (late, -self.call.criticality, not self.call.depth, self.due_at, self.sequence)
 
 
 class AdmissionQueue:
@@ -162,7 +165,8 @@
         Notes
         -----
         A call in time is more urgent than a late one.  If both are in time or both late, the
-        more critical one is; the due time and the order of arrival make no difference.
+        more critical one is, then the nested one; the due time and the order of arrival make
+        no difference.
         """
         moment = now()
         last = max(
@@ -171,7 +175,7 @@
             default=None,
         )
         mine = self._rank_on_arrival(call, service_seconds, moment)
-        if last is None or last.rank(moment, self.short_seconds)[:2] <= mine[:2]:
+        if last is None or last.rank(moment, self.short_seconds)[:3] <= mine[:3]:
             return False
         self._resolve(last, "displaced by a more urgent call")
         return True
--- a/caperstack/callers/port.py
+++ b/caperstack/callers/port.py
@@ -101,6 +101,7 @@
         self._dispatcher = kernel.find("dispatcher")
         self._pauses = kernel.find("pauses")
         self._sync = kernel.find("settings sync")
+        self._trees = kernel.find("call trees")
         self._claims = kernel.find("claims") if "claims" in kernel.names else None
         self._server = HTTPServer(
             _ConnectionDelegate(self),
@@ -219,6 +220,7 @@
             # The time left in the headers counts from the moment when the request was
             # sent.  After a pause of the node it is unknown how long ago that was.
             return self._count_outcome(NotRun("node was paused", 0.1), call.service), extra
+        self._trees.adopt(call)
         outcome = await self._outcome(call)
         self._events.call("entry", call, outcome, begun)
         self.metrics.time("caller_seconds", now() - begun, call.service)
--- a/caperstack/node/assemble.py
+++ b/caperstack/node/assemble.py
@@ -25,6 +25,7 @@
 from caperstack.settings.store import SettingsStore
 from caperstack.settings.sync import SettingsSync
 from caperstack.transfers.link import LinkBudget
+from caperstack.trees.adoption import CallTrees
 
 __all__ = ["assemble"]
 
@@ -63,6 +64,7 @@
     kernel.register("settings reader", SettingsReader(here))
     kernel.register("dispatcher", Dispatcher(here, link=link))
     kernel.register("claims", KeyClaims(here))
+    kernel.register("call trees", CallTrees())
     kernel.register("callers", CallerPort(here))
     kernel.register("operators", OperatorPort(here))
     return kernel
--- a/caperstack/platform/assemble.py
+++ b/caperstack/platform/assemble.py
@@ -28,6 +28,7 @@
 from caperstack.settings.store import SettingsStore
 from caperstack.settings.sync import SettingsSync
 from caperstack.transfers.link import LinkBudget
+from caperstack.trees.adoption import CallTrees
 
 __all__ = ["assemble"]
 
@@ -85,6 +86,7 @@
         "pace probe", HealthProbe(fleet.health_path, lambda: codec.measuring_per_second)
     )
     kernel.register("dispatcher", Dispatcher(here, allowance=boot.allowance, link=link))
+    kernel.register("call trees", CallTrees())
     kernel.register("callers", CallerPort(here, DIALECT))
     kernel.register("ready", ReadyPort(boot.ready_address))
     kernel.register("operators", OperatorPort(here))
