A body to a slow host does not hold up the bodies that its entry sends to others

Cause, found by review: `BodyPacer` took the link at the moment of a body's next piece, which for a slow receiver lies far ahead, so that all other bodies of that entry waited until then; and an entry whose own link is unknown took its link for as fast as that of the receiver, so that bodies to different hosts shared the rate of one. Ruled out: the order of the timers; both come from `_link_free_at` alone.

Change: the link is taken only once the piece may go, and an unknown link is never taken.

--- a/caperstack/transfers/pacing.py
+++ b/caperstack/transfers/pacing.py
@@ -1,6 +1,7 @@
 """Pacing of the large bodies that an entry sends over its host's link."""
 
 import asyncio
+import math
 
 from caperstack.clock import now
 
@@ -36,15 +37,24 @@
         bytes_per_second : float
             The rate that the receiver grants.
         """
-        own = self._budget.bytes_per_second or bytes_per_second
+        own = self._budget.bytes_per_second or math.inf
         rate = min(own, bytes_per_second)
         size = min(max(int(rate * PIECE_SECONDS), MIN_PIECE_BYTES), MAX_PIECE_BYTES)
         next_at = now()
         for start in range(0, len(body), size):
             piece = body[start : start + size]
-            next_at = max(next_at, self._link_free_at, now())
+            # Taken before the sleep, so that a timer that fires late does not lower the rate.
+            next_at = max(next_at, now())
+            await _sleep_until(next_at)
+            # The link is taken only once the piece may go, so that a body at a low rate does
+            # not keep it from others between two pieces.
+            next_at = max(next_at, self._link_free_at)
             self._link_free_at = next_at + len(piece) / own
-            if next_at > now():
-                await asyncio.sleep(next_at - now())
+            await _sleep_until(next_at)
             yield piece
             next_at += len(piece) / rate
+
+
+async def _sleep_until(moment):
+    if moment > now():
+        await asyncio.sleep(moment - now())
