A body that is overdue on the link still keeps later ones waiting

Cause, found by review: `TransferTurns.expected_wait` counted a transfer past its expected end as nothing. On a link slower than its setting, or with an entry that stalls, the owner told no wait, so that entries kept sending bodies there, and took calls whose turn could not come; the design note says that later ones see the wait. Ruled out: leaked turns; no order of cancelled, timed out and released waits leaves one (test_turns, with random orders).

Change: an overdue transfer is expected to last as long again as it is overdue.

Figures: half a transfer after its expected end the wait was 0 s before, half a transfer (43 ms) now; one of the fifteen tests of test_turns and test_link failed for it before.

--- a/caperstack/transfers/turns.py
+++ b/caperstack/transfers/turns.py
@@ -88,7 +88,9 @@
         if self._has_room and not ahead:
             return 0.0
         moment = now()
-        rest = sum(max(0.0, t.due_at - moment) * t.bytes_per_second for t in self._running)
+        # Nobody knows how much of an overdue body is missing.  It is expected to last as long
+        # again as it is overdue.
+        rest = sum(abs(t.due_at - moment) * t.bytes_per_second for t in self._running)
         rest += sum(transfer.size for transfer in ahead)
         return rest / self._bytes_per_second
 
