Revert "Late binding: a call waits at several owners, and the first with a free slot gets it"

The hypothesis was wrong: the servers that seemed to have free slots beside refusals were, but for a few, on hosts that a neighbour had at that moment (of 5,095 refusals for want of a slot at the pages' owners 4,298 came with all slots taken, 651 with slots free on a slowed host, 146 with slots free on a calm one). The count by log lines took a host for calm that had been slowed since its last line. With a quarter of the hosts slowed the service was full.

This reverts.

--- a/caperstack/admission/gate.py
+++ b/caperstack/admission/gate.py
@@ -1,7 +1,6 @@
 """Concurrency limiter of one backend server: start, queue or refuse each call."""
 
 import asyncio
-import math
 import random
 from dataclasses import dataclass
 
@@ -96,11 +95,6 @@
         """Number of calls that wait for a slot."""
         return len(self._queue)
 
-    @property
-    def backlog(self):
-        """The calls that wait, each divided by the number of owners at which it waits."""
-        return self._queue.backlog
-
     @property
     def limit(self):
         """Number of calls that may hold a slot concurrently now.
@@ -330,7 +324,7 @@
         slow_phase = free > 0 and not awaiting_reading and self._defers(call)
         wait = SLOW_PHASE_LEFT_SECONDS if slow_phase else 0.0
         wait += without_slot * self._times.recent * self._slowdown.baseline / self._limit.limit
-        return max(wait, self._starts.wait(math.ceil(ahead)))
+        return max(wait, self._starts.wait(ahead))
 
     def release(self, sent=True):
         """Release a slot and start waiting calls.
--- a/caperstack/admission/local.py
+++ b/caperstack/admission/local.py
@@ -1,7 +1,5 @@
 """Calls from an entry to the owner in the same process."""
 
-from caperstack.routing.binding import BoundBody
-
 __all__ = ["LocalOwner"]
 
 
@@ -24,8 +22,6 @@
 
     async def run(self, call):
         """Run `call` and return its outcome."""
-        if call.binding is not None:
-            call.withheld = BoundBody(call)
         return await self._owner.run(call)
 
     async def resolve(self, call):
--- a/caperstack/admission/queue.py
+++ b/caperstack/admission/queue.py
@@ -91,11 +91,6 @@
     def __len__(self):
         return len(self._waiters)
 
-    @property
-    def backlog(self):
-        """The calls that wait, each divided by the number of owners at which it waits."""
-        return sum(1 / waiter.call.places for waiter in self._pending())
-
     @property
     def full(self):
         """Whether a further call would have to displace another."""
@@ -124,16 +119,11 @@
         return waiter
 
     def ahead_of(self, call, service_seconds=0.0):
-        """Return the number of waiting calls that would start before `call`.
-
-        A call that waits at several owners counts as a part of one at each.
-        """
+        """Return the number of waiting calls that would start before `call`."""
         moment = now()
         mine = self._rank_on_arrival(call, service_seconds, moment)
         return sum(
-            1 / waiter.call.places
-            for waiter in self._pending()
-            if waiter.rank(moment, self.short_seconds) < mine
+            1 for waiter in self._pending() if waiter.rank(moment, self.short_seconds) < mine
         )
 
     def _rank_on_arrival(self, call, service_seconds, moment):
--- a/caperstack/admission/tracker.py
+++ b/caperstack/admission/tracker.py
@@ -89,7 +89,7 @@
         """The current, exact `Load`."""
         return Load(
             self._gate.running,
-            math.ceil(self._gate.backlog),
+            self._gate.waiting,
             self._gate.limit,
             int(self._times.recent * self._slowdown.baseline * 1e6) if self._times.known else 0,
             self._status.state,
--- a/caperstack/calls/model.py
+++ b/caperstack/calls/model.py
@@ -170,10 +170,6 @@
         including itself, if further calls were queued; else 0.
     start_expected_at : float
         Estimated start time, if the call had to wait for a slot; else 0.
-    places : int
-        Number of owners at which the call waits; only one of them will run it.
-    binding : caperstack.routing.binding.Binding
-        Decides at the entry which of these owners runs the call; ``None`` if there is one.
     fingerprint : caperstack.calls.fingerprint.Fingerprint
         Identifies the request; the same for each attempt.
     withheld : object
@@ -205,8 +201,6 @@
     attempts: int = 3
     running_at_start: int = 0
     start_expected_at: float = 0.0
-    places: int = 1
-    binding: object = None
     fingerprint: Fingerprint = Fingerprint()
     withheld: object = None
     notes: list = field(default_factory=list)
--- a/caperstack/peers/link.py
+++ b/caperstack/peers/link.py
@@ -145,9 +145,7 @@
         budget = self._links.budget
         estimate = self._member.estimate
         large = budget.is_large(len(call.body), estimate.body_bytes_per_second)
-        withheld = (
-            large or call.binding is not None or estimate.should_withhold_body(len(call.body))
-        )
+        withheld = large or estimate.should_withhold_body(len(call.body))
         self._calls[call.id] = call
         try:
             message = call_message(
@@ -360,7 +358,7 @@
     @_handle_message.register
     def _(self, message: SendBody, body):
         call = self._calls.get(message.id)
-        if call is not None and (call.binding is None or call.binding.claim(call.id)):
+        if call is not None:
             sending = self._send_body(call, self._connection, message.bytes_per_second)
             task = asyncio.create_task(sending)
             self._sending.add(task)
--- a/caperstack/peers/messages.py
+++ b/caperstack/peers/messages.py
@@ -97,8 +97,7 @@
     depth in the call tree, 0 for the root, and ``last`` tells that no other backend server
     is left to try.  If ``withheld`` is set, the body is sent only when the owner requests it;
     ``body_bytes`` is its size then, and ``body_bytes_per_second`` the rate at which the sender's
-    link can send it, 0 if unknown.  ``places`` is the number of owners at which the call waits;
-    the one that requests the body first runs it.
+    link can send it, 0 if unknown.
     """
 
     id: int
@@ -123,7 +122,6 @@
     withheld: bool = False
     body_bytes: int = 0
     body_bytes_per_second: int = 0
-    places: Annotated[int, msgspec.Meta(ge=1)] = 1
 
 
 class SendBody(_MessageStruct, tag=21):
--- a/caperstack/peers/translate.py
+++ b/caperstack/peers/translate.py
@@ -104,7 +104,6 @@
         withheld,
         len(call.body) if withheld else 0,
         int(body_bytes_per_second) if withheld else 0,
-        call.places,
     )
 
 
@@ -140,7 +139,6 @@
         route=message.route,
         objective_at=sent + message.objective_us / 1e6,
         fingerprint=Fingerprint(message.request_hash, message.caller_hash),
-        places=message.places,
     )
 
 
--- a/caperstack/routing/candidates.py
+++ b/caperstack/routing/candidates.py
@@ -12,15 +12,6 @@
 #: service times; the last attempt may queue until the deadline.
 QUEUE_WAIT_FACTOR = 0.25
 
-#: Number of owners at which a call may wait at the same time, and the concurrency limit up to
-#: which it does.  A server with more slots has one free soon enough.
-MAX_PLACES = 3
-FEW_SLOTS = 4
-
-#: Longest exchange of messages with an owner for it, as a share of the baseline service time:
-#: the owner's slot is idle for that long while it asks for the call.
-MAX_CLAIM_SHARE = 0.1
-
 #: Largest share of a service's members that may be ejected at the same time.
 MAX_EJECTED_SHARE = 0.5
 
@@ -60,42 +51,6 @@
         """Return the best member not in `failed`, even if it is busy, or ``None``."""
         return self._choose(call, state, [m for m in self._accepting(call) if m not in failed])
 
-    def pick_places(self, call, state, failed):
-        """Return the members at which `call` waits: one, or several with few slots each.
-
-        Returns
-        -------
-        list of caperstack.membership.members.Member
-            The best first; empty if there is none.
-        """
-        members = [member for member in self._accepting(call) if member not in failed]
-        baseline = baseline_seconds(members, state)
-        best = self._choose(call, state, members)
-        if best is None:
-            return []
-        places = [best]
-        rest = [m for m in members if m is not best and self._may_share(m, baseline)]
-        if not self._may_share(best, baseline):
-            return places
-        while rest and len(places) < MAX_PLACES:
-            member = self._choose(call, state, rest)
-            rest.remove(member)
-            places.append(member)
-        return places
-
-    def _may_share(self, member, baseline):
-        """Return whether a call may wait at the member's owner while it waits at others."""
-        estimate = member.estimate
-        if (
-            not estimate.reported
-            or estimate.limit > FEW_SLOTS
-            or estimate.state == ServerState.DOWN
-        ):
-            return False
-        if member.host == self._here.host:
-            return True
-        return 0.0 < estimate.round_trip_seconds <= MAX_CLAIM_SHARE * baseline
-
     def pick_deterministic(self, call):
         """Return the member that every entry picks for the request of `call`, or ``None``.
 
--- a/caperstack/routing/dispatch.py
+++ b/caperstack/routing/dispatch.py
@@ -8,7 +8,6 @@
 from caperstack.clock import deadline_after, now, time_left
 from caperstack.exception import PeerError
 from caperstack.quarantine.suspects import Verdict
-from caperstack.routing.binding import attempt_at_several
 from caperstack.routing.budgets import CallBudget, share_at_depth
 from caperstack.routing.candidates import QUEUE_WAIT_FACTOR, Candidates
 from caperstack.routing.service import INITIAL_BASELINE_SECONDS, Attempts, ServiceState
@@ -110,20 +109,12 @@
             may_offer = refusals < settings.refusals_per_call
             member = self.candidates.pick_available(call, state, tried) if may_offer else None
             last = member is None
-            places = [member]
             if last and queues:
-                places = self.candidates.pick_places(call, state, failed) or places
-                member = places[0]
+                member = self.candidates.pick_any(call, state, failed)
             if member is None or not attempts.take():
                 break
-            tried += places
-            if len(places) > 1:
-                self._metrics.count("late_bindings", service=call.service)
-                member, outcome = await attempt_at_several(
-                    call, places, lambda shared, place: self._attempt(shared, place, state, True)
-                )
-            else:
-                outcome = await self._attempt(call, member, state, last)
+            tried.append(member)
+            outcome = await self._attempt(call, member, state, last)
             best = _better(outcome, best)
             if _is_final(outcome):
                 return best
@@ -201,8 +192,6 @@
             queue_limit = deadline_after(QUEUE_WAIT_FACTOR * state.baseline_seconds)
             attempt.queue_until = min(call.deadline, queue_limit)
         begun = attempt.sent_at = now()
-        if attempt.binding is not None:
-            attempt.binding.enter(attempt.id)
         call.notes.append((begun, f"to {member.host}"))
         estimate = member.estimate
         self._events.decision(
@@ -210,17 +199,16 @@
             call,
             to=member.host,
             last=attempt.last,
-            places=attempt.places,
-            own_in_flight=round(estimate.in_flight, 1),
+            own_in_flight=estimate.in_flight,
             expected_ms=round(estimate.expected_seconds(state.baseline_seconds) * 1000),
             load_age_ms=estimate.age_ms,
         )
-        estimate.begin(attempt.places)
+        estimate.begin()
         outcome = None
         try:
             outcome = await self._run(attempt, member)
         finally:
-            estimate.end(attempt.places)
+            estimate.end()
         self._record_outcome(call, outcome, member, state, begun)
         call.notes.append((now(), f"{member.host}: {_summary(outcome)}"))
         return outcome
@@ -232,9 +220,6 @@
             if not error.sent:
                 member.estimate.mark_down()
                 return NotRun(f"owner not reached: {error}", 0.2)
-        if attempt.binding is not None and not attempt.binding.is_held_by(attempt.id):
-            # Without the body the owner cannot have run the call.
-            return NotRun("owner was lost while the call waited", 0.0)
         if attempt.idempotent:
             return Unknown("connection to the owner was lost")
         return await member.owner.resolve(attempt)
@@ -244,8 +229,6 @@
             state.record_duration(now() - begun, call.route)
         refused = isinstance(outcome, NotRun)
         member.estimate.record_admission(refused and not outcome.offered)
-        if refused and not outcome.offered:
-            member.estimate.record_round_trip(now() - begun)
         if refused:
             return
         if isinstance(outcome, Unknown) and outcome.end:
--- a/caperstack/routing/estimates.py
+++ b/caperstack/routing/estimates.py
@@ -50,12 +50,6 @@
 WITHHELD_BYTES = 1024
 WITHHELD_SHARE = 0.1
 
-#: Sums of parts of calls may differ from whole numbers by this much.
-ROUNDING_TOLERANCE = 1e-6
-
-#: Weight of the latest exchange in the average of round trips, if it is longer than the average.
-ROUND_TRIP_WEIGHT = 0.1
-
 #: Weight of the latest call in the moving average of refusals.
 REFUSAL_WEIGHT = 0.2
 
@@ -65,8 +59,8 @@
 
     Attributes
     ----------
-    in_flight : float
-        This entry's own calls in flight to the server; of a call that waits at several, a part.
+    in_flight : int
+        This entry's own calls in flight to the server.
     body_bytes_per_second : float
         What large bodies may use of the link of the server's host; 0 if unknown.
     """
@@ -74,7 +68,6 @@
     def __init__(self):
         self.in_flight = 0
         self.body_bytes_per_second = 0.0
-        self._round_trip = 0.0
         self._load = Load(limit=INITIAL_LIMIT)
         self.restart()
 
@@ -183,29 +176,6 @@
         slot_wait = self._service_seconds(baseline) * max(0.0, self._occupancy() - 1.0)
         return max(slot_wait, self._rate_wait())
 
-    @property
-    def limit(self):
-        """The concurrency limit in the last load report."""
-        return self._load.limit
-
-    @property
-    def reported(self):
-        """Whether the owner has reported its load since the start of its server."""
-        return self._reported_at > 0.0
-
-    @property
-    def round_trip_seconds(self):
-        """How long an exchange of messages with the owner takes; 0 if unknown."""
-        return self._round_trip
-
-    def record_round_trip(self, seconds):
-        """Record how long the owner took to refuse a call, which it may have queued before."""
-        if not self._round_trip or seconds < self._round_trip:
-            self._round_trip = seconds
-        else:
-            bounded = min(seconds, 2 * self._round_trip)
-            self._round_trip += ROUND_TRIP_WEIGHT * (bounded - self._round_trip)
-
     @property
     def link_wait(self):
         """The seconds until the host's link has room for a further large body."""
@@ -243,15 +213,13 @@
         others = max(0, load.in_flight + load.queued - self._in_flight_at_report)
         return (self.in_flight + others * weight + 1) / max(1, load.limit)
 
-    def begin(self, places=1):
-        """Count a call sent to the server, and to `places` - 1 others that may run it as well."""
-        self.in_flight += 1 / places
+    def begin(self):
+        """Count a call sent to the server."""
+        self.in_flight += 1
 
-    def end(self, places=1):
+    def end(self):
         """Count a call as ended."""
-        self.in_flight -= 1 / places
-        if self.in_flight < ROUNDING_TOLERANCE:
-            self.in_flight = 0
+        self.in_flight -= 1
 
     def update_load(self, load):
         """Store the `Load` reported by the owner."""
