Calls that wait for the link in vain are refused as soon as that is known

Cause, found by review: a call whose body waits for its turn was refused only when its time to begin had passed, also if a more urgent body had moved it beyond that, and when the backend server had closed it even got its turn, received its body and was refused then. Ruled out: leaked turns after refusals (random orders of waits, time-outs and leaving callers in test_turns).

Change: an arriving transfer refuses those that it makes too late, as the queue does under a stated rate; a server that closes or is of another service refuses the transfers that wait, as it refuses the calls in its queue. Transfers that run go on, and their calls are refused when they end.

--- a/caperstack/admission/owner.py
+++ b/caperstack/admission/owner.py
@@ -84,6 +84,7 @@
     async def stop(self):
         """Refuse waiting calls; running ones have already ended."""
         self._gate.refuse_all("node stops")
+        self._transfers.refuse_all("node stops")
 
     async def run(self, call, queued=None):
         """Run `call` or refuse it; return its `Outcome`.
--- a/caperstack/admission/staging.py
+++ b/caperstack/admission/staging.py
@@ -83,7 +83,9 @@
             queued()
         asked_at = now()
         if not await self._turns.take(transfer, may_wait_until):
-            return self._refusal(call, transfer, seconds)
+            if transfer.refusal:
+                return NotRun(transfer.refusal, 0.0)
+            return self._refusal(call, transfer, self._turns.expected_wait() + seconds)
         self._metrics.time("body_wait_seconds", now() - asked_at, call.service)
         try:
             return await self._receive(call, transfer, asked_at)
--- a/caperstack/admission/tests/ownercase.py
+++ b/caperstack/admission/tests/ownercase.py
@@ -9,9 +9,9 @@
 __all__ = ["start_owner"]
 
 
-async def start_owner(client):
-    """Return a started `Owner` of a backend server with nine slots, reached by `client`."""
-    owner = Owner(SimpleNamespace(slots=9, slots_share=0.8), client)
+async def start_owner(client, slots=9, slots_share=0.8, link=None):
+    """Return a started `Owner` of a backend server with `slots` slots, reached by `client`."""
+    owner = Owner(SimpleNamespace(slots=slots, slots_share=slots_share), client, link)
     recorder = mock.Mock()
     suspects = Suspects()
     suspects._events = recorder
--- a/caperstack/admission/tracker.py
+++ b/caperstack/admission/tracker.py
@@ -218,6 +218,7 @@
         self._events.state("backend server", old=old, new=state)
         if self._status.closed:
             self._gate.refuse_all(self._status.closed_reason)
+            self._transfers.refuse_all(self._status.closed_reason)
         self.notify_listeners()
         return True
 
@@ -276,6 +277,8 @@
         # another service, they would run there.
         reason = "backend server is of another service" if moved else "backend server started anew"
         self._gate.refuse_all(reason)
+        if moved:
+            self._transfers.refuse_all(reason)
 
     def _on_crash(self, crash):
         self._metrics.count("backend_ends")
--- a/caperstack/transfers/tests/test_turns.py
+++ b/caperstack/transfers/tests/test_turns.py
@@ -141,6 +141,18 @@
 
         self.play(work)
 
+    def test_waiting_transfers_can_be_refused(self):
+        async def work():
+            running = await self.take()
+            waiting = Transfer((0,), SIZE, 0.0)
+            taking = asyncio.create_task(self.turns.take(waiting, deadline_after(60.0)))
+            await asyncio.sleep(0)
+            self.turns.refuse_all("node stops")
+            self.assertEqual((await taking, waiting.refusal), (False, "node stops"))
+            self.turns.release(running)
+
+        self.play(work)
+
     def test_unknown_link_lets_every_body_go_at_once(self):
         async def work():
             taken = [await self.take(sender=5e5) for _ in range(20)]
--- a/caperstack/transfers/turns.py
+++ b/caperstack/transfers/turns.py
@@ -30,6 +30,12 @@
         The rate that it may use; 0 while it waits for its turn.
     due_at : float
         Time at which a transfer that has its turn ends at that rate.
+    begin_until : float
+        Time until which the turn is of use.
+    granted : asyncio.Future
+        Resolves to whether the turn came.
+    refusal : str
+        Reason for which it was refused while it waited; empty if its turn would come too late.
     """
 
     rank: tuple
@@ -37,7 +43,9 @@
     sender_bytes_per_second: float
     bytes_per_second: float = 0.0
     due_at: float = 0.0
+    begin_until: float = 0.0
     granted: asyncio.Future = None
+    refusal: str = ""
 
 
 class TransferTurns:
@@ -87,27 +95,36 @@
         ahead = [t for t in self._waiting if rank is None or t.rank[: len(rank)] <= rank]
         if self._has_room and not ahead:
             return 0.0
-        moment = now()
-        # Nobody knows how much of an overdue body is missing.  It is expected to last as long
-        # again as it is overdue.
-        rest = sum(abs(t.due_at - moment) * t.bytes_per_second for t in self._running)
-        rest += sum(transfer.size for transfer in ahead)
+        rest = self._rest_bytes + sum(transfer.size for transfer in ahead)
         return rest / self._bytes_per_second
 
+    @property
+    def _rest_bytes(self):
+        """What the transfers that have their turn are expected to need yet, in bytes.
+
+        Notes
+        -----
+        Nobody knows how much of an overdue body is missing.  It is expected to last as long
+        again as it is overdue.
+        """
+        moment = now()
+        return sum(abs(t.due_at - moment) * t.bytes_per_second for t in self._running)
+
     async def take(self, transfer, until):
         """Wait for the turn of `transfer`; return whether it came before the time `until`.
 
         A transfer that got its turn must be released.
         """
         transfer.rank = (*transfer.rank, next(self._arrivals))
+        transfer.begin_until = until
         transfer.granted = asyncio.get_running_loop().create_future()
         self._waiting.append(transfer)
         self._grant()
+        self._refuse_late()
         taken = False
         try:
             async with asyncio.timeout_at(until):
-                await transfer.granted
-            taken = True
+                taken = await transfer.granted
         except TimeoutError:
             pass
         finally:
@@ -129,15 +146,43 @@
             self._running.remove(transfer)
         self._grant()
 
+    def refuse_all(self, reason):
+        """Refuse every waiting transfer with `reason`; those that have their turn go on."""
+        for transfer in self._pending():
+            self._refuse(transfer, reason)
+
+    def _refuse_late(self):
+        """Refuse the waiting transfers whose turn would come too late.
+
+        Notes
+        -----
+        A more urgent body that arrives moves the turns of all that rank behind it.  Those
+        that it makes too late would otherwise wait in vain.
+        """
+        begin_at = now() + self._rest_bytes / self._bytes_per_second
+        for transfer in self._pending():
+            if begin_at > transfer.begin_until:
+                self._refuse(transfer, "")
+            else:
+                begin_at += transfer.size / self._bytes_per_second
+
+    def _refuse(self, transfer, reason):
+        self._waiting.remove(transfer)
+        transfer.refusal = reason
+        transfer.granted.set_result(False)
+
+    def _pending(self):
+        """Return the transfers that wait and whose callers have not left, in order of rank."""
+        pending = (transfer for transfer in self._waiting if not transfer.granted.done())
+        return sorted(pending, key=lambda transfer: transfer.rank)
+
     def _grant(self):
-        while self._has_room:
-            pending = (transfer for transfer in self._waiting if not transfer.granted.done())
-            transfer = min(pending, key=lambda waiting: waiting.rank, default=None)
-            if transfer is None:
+        for transfer in self._pending():
+            if not self._has_room:
                 return
             self._waiting.remove(transfer)
             sender = transfer.sender_bytes_per_second or self._free
             transfer.bytes_per_second = min(sender, self._free)
             transfer.due_at = now() + transfer.size / transfer.bytes_per_second
             self._running.append(transfer)
-            transfer.granted.set_result(None)
+            transfer.granted.set_result(True)
