Late calls with large bodies run where the link and a slot are free

Cause, found by review: a body had to begin so early that its call meets its objective. Calls past their objective, and those whose objective the transfer alone exceeds, were therefore refused by every owner with "link is busy with other bodies", also if nothing used the link and all slots were free; calls without a large body run there. The same reason was given for a body that takes longer than the time to the deadline. Ruled out: the gate, which admits such calls to a free slot.

Change: a late call gets the link and a slot if both are free now and it can end before its deadline; it ranks behind calls in time. A refusal over an idle link says "too little time left for the body", and one for want of a slot says so first. Nested calls rank before those of their criticality that have not begun, as in the queue of the slots.

--- a/caperstack/admission/gate.py
+++ b/caperstack/admission/gate.py
@@ -50,10 +50,19 @@
         Expected wait for a slot.
     last_start : float
         Time until which the call may wait.
+    last_free_start : float
+        Time until which it may start if it need not wait: it is late then, but can still end
+        before its deadline.
     """
 
     wait_seconds: float
     last_start: float
+    last_free_start: float
+
+    @property
+    def too_late(self):
+        """Whether the call would have to wait for a slot until it is too late."""
+        return self.wait_seconds > 0 and now() + self.wait_seconds > self.last_start
 
 
 class SlotGate:
@@ -139,7 +148,8 @@
         """Return the `Outlook` of `call`, without admitting it."""
         service_seconds = self._expected_seconds(call)
         wait = self._expected_wait(call, self._queue.ahead_of(call, service_seconds))
-        return Outlook(wait, self._last_start(call, service_seconds))
+        last_start = self._last_start(call, service_seconds)
+        return Outlook(wait, last_start, call.deadline - service_seconds)
 
     def retry_after(self, call, wait):
         """Return the advised retry delay in seconds for a call that would have to wait `wait`."""
--- a/caperstack/admission/staging.py
+++ b/caperstack/admission/staging.py
@@ -5,11 +5,14 @@
 from caperstack.exception import PeerError
 from caperstack.transfers.turns import Transfer
 
-__all__ = ["LINK_BUSY", "BodyStaging"]
+__all__ = ["LINK_BUSY", "TOO_LATE", "BodyStaging"]
 
 #: Reason for the refusal of calls whose body would come too late over the host's link.
 LINK_BUSY = "link is busy with other bodies"
 
+#: Reason for the refusal of calls whose body would come too late over an idle link.
+TOO_LATE = "too little time left for the body"
+
 #: A transfer is given up after this multiple of its expected time plus a margin in seconds, so
 #: that a stalled sender does not keep the link from others.
 STALL_FACTOR = 2.0
@@ -65,35 +68,41 @@
             ``queued()`` is called if the body has to wait for its turn.
         """
         patience_until, call.queue_until = call.queue_until, call.deadline
-        transfer = Transfer(
-            (-call.criticality, call.objective_at or call.deadline),
-            call.withheld.size,
-            call.withheld.sender_bytes_per_second,
-        )
-        seconds = self._budget.seconds(transfer.size, transfer.sender_bytes_per_second)
-        link_wait = self._turns.expected_wait(transfer.rank)
         outlook = self._gate.outlook(call)
-        latest_begin = outlook.last_start - seconds
-        may_wait_until = latest_begin if call.last else min(latest_begin, patience_until)
-        if now() + link_wait > may_wait_until:
-            return self._refusal(call, transfer, link_wait + seconds)
-        if now() + outlook.wait_seconds > outlook.last_start:
-            return NotRun("no slot in time", self._gate.retry_after(call, outlook.wait_seconds))
+        if outlook.too_late:
+            return self._slot_refusal(call, outlook)
+        body = call.withheld
+        seconds = self._budget.seconds(body.size, body.sender_bytes_per_second)
+        late = now() + seconds > outlook.last_start
+        rank = (late, -call.criticality, not call.depth, call.objective_at or call.deadline)
+        transfer = Transfer(rank, body.size, body.sender_bytes_per_second)
+        link_wait = self._turns.expected_wait(rank)
+        begin_until = outlook.last_start - seconds
+        if link_wait and not call.last:
+            begin_until = min(begin_until, patience_until)
+        elif late and not link_wait and not outlook.wait_seconds:
+            # Like a free slot, an idle link also serves calls that are late.
+            begin_until = outlook.last_free_start - seconds
+        if now() + link_wait > begin_until:
+            return self._refusal(call, transfer, link_wait, seconds)
         if link_wait and queued is not None:
             queued()
         asked_at = now()
-        if not await self._turns.take(transfer, may_wait_until):
+        if not await self._turns.take(transfer, begin_until):
             if transfer.refusal:
                 return NotRun(transfer.refusal, 0.0)
-            return self._refusal(call, transfer, self._turns.expected_wait() + seconds)
-        self._metrics.time("body_wait_seconds", now() - asked_at, call.service)
+            return self._refusal(call, transfer, self._turns.expected_wait(rank), seconds)
         try:
             return await self._receive(call, transfer, asked_at)
         finally:
             self._turns.release(transfer)
 
+    def _slot_refusal(self, call, outlook):
+        return NotRun("no slot in time", self._gate.retry_after(call, outlook.wait_seconds))
+
     async def _receive(self, call, transfer, asked_at):
         begun = now()
+        self._metrics.time("body_wait_seconds", begun - asked_at, call.service)
         expected = time_left(transfer.due_at)
         limit = min(call.deadline, deadline_after(STALL_FACTOR * expected + STALL_MARGIN_SECONDS))
         self._events.decision(
@@ -116,13 +125,14 @@
         call.last = True
         return None
 
-    def _refusal(self, call, transfer, wait):
+    def _refusal(self, call, transfer, link_wait, seconds):
         self._metrics.count("body_transfers", outcome="refused")
         self._events.decision(
             "owner refuses body",
             call,
             body_bytes=transfer.size,
-            wait_ms=round(wait * 1000),
+            wait_ms=round((link_wait + seconds) * 1000),
             waiting=self._turns.waiting,
         )
-        return NotRun(LINK_BUSY, self._gate.retry_after(call, wait))
+        reason = LINK_BUSY if link_wait else TOO_LATE
+        return NotRun(reason, self._gate.retry_after(call, link_wait + seconds))
--- a/caperstack/admission/tests/test_staging.py
+++ b/caperstack/admission/tests/test_staging.py
@@ -137,8 +137,9 @@
         async def work():
             calls = [self.upload(n, objective=2.0 - n / 10) for n in range(4)]
             calls.append(self.upload(4, objective=2.4, criticality=2))
+            calls.append(self.upload(5, objective=2.4, depth=1))
             await asyncio.gather(*(self.owner.run(call) for call in calls))
-            self.assertEqual(self.server.started, ["0", "4", "3", "2", "1"])
+            self.assertEqual(self.server.started, ["0", "4", "5", "3", "2", "1"])
 
         self.play(work)
 
@@ -182,6 +183,16 @@
 
         self.play(work)
 
+    def test_late_call_runs_if_the_link_and_a_slot_are_free(self):
+        """Guards against late uploads that nobody runs, although nothing else waits."""
+
+        async def work():
+            for objective in (-0.5, 0.0, 0.1):
+                call = self.upload(objective, objective=objective)
+                self.assertIsInstance(await self.owner.run(call), Answered)
+
+        self.play(work)
+
     def test_late_call_does_not_go_before_those_in_time(self):
         async def work():
             calls = [self.upload("first"), self.upload("in time"), self.upload("late", objective=0)]
@@ -191,6 +202,16 @@
 
         self.play(work)
 
+    def test_body_that_takes_too_long_is_not_blamed_on_other_bodies(self):
+        """Guards against operators who look for other bodies on an idle link."""
+
+        async def work():
+            refused = await self.owner.run(self.upload("a", seconds=0.12))
+            self.assertEqual(refused.reason, "too little time left for the body")
+            self.assertEqual(self.server.started, [])
+
+        self.play(work)
+
     def test_calls_that_wait_for_the_link_are_refused_when_the_server_closes(self):
         """Guards against bodies sent in vain, and callers who wait, for a server that drains."""
 
