A body does not come if the slots have filled while its call waited for the link

Cause, found by review: the wait for a slot was looked at only when the call arrived. Calls that waited for the link with others, or beside urgent calls without a body, got their turn and body and were then refused for want of a slot, and the link had served nobody. Ruled out: the link's own refusals, which come before a byte is sent.

Change: the wait for a slot is looked at again when the turn comes.

--- a/caperstack/admission/staging.py
+++ b/caperstack/admission/staging.py
@@ -93,6 +93,10 @@
                 return NotRun(transfer.refusal, 0.0)
             return self._refusal(call, transfer, self._turns.expected_wait(rank), seconds)
         try:
+            # Others may have taken the slots while the call waited for the link.
+            outlook = self._gate.outlook(call)
+            if outlook.too_late:
+                return self._slot_refusal(call, outlook)
             return await self._receive(call, transfer, asked_at)
         finally:
             self._turns.release(transfer)
--- a/caperstack/admission/tests/test_staging.py
+++ b/caperstack/admission/tests/test_staging.py
@@ -212,6 +212,21 @@
 
         self.play(work)
 
+    def test_body_does_not_come_if_the_slots_have_filled_meanwhile(self):
+        """Guards against bodies sent in vain for calls that waited for the link."""
+
+        async def work():
+            tasks = [self.start(self.upload(n, objective=1.2)) for n in range(2)]
+            tasks.append(self.start(self.upload("late", objective=0.5)))
+            await asyncio.sleep(0.01)
+            urgent = (make_call(n, last=True, criticality=2) for n in range(10, 50))
+            tasks += [self.start(call) for call in urgent]
+            outcomes = await asyncio.gather(*tasks)
+            self.assertEqual(outcomes[2].reason, "no slot in time")
+            self.assertEqual(self.bodies["late"].asked_at, 0.0)
+
+        self.play(work)
+
     def test_calls_that_wait_for_the_link_are_refused_when_the_server_closes(self):
         """Guards against bodies sent in vain, and callers who wait, for a server that drains."""
 
