Callers' routes no longer look nested while a burst keeps a server busy

Cause: arrivals that met a running call were compared with the idle share of the last ten seconds. In a burst after a calmer time, or during one long run, no call of any route meets an idle server while that average is still high, so callers' routes counted as nested within seconds, and their calls got the urgency and the time of runs that had not made them, when it matters most. Ruled out: a shorter time constant, which only shortens the same error; the calls that arrive during one run are no independent evidence under any average.

--- a/caperstack/trees/adoption.py
+++ b/caperstack/trees/adoption.py
@@ -47,7 +47,7 @@
     def adopt(self, call):
         """Adjust `call`, which has just arrived from a caller, if a run has made it."""
         if not call.depth:
-            self._routes.record(call.route, len(self._runs), self._runs.idle_share)
+            self._routes.record(call.route, len(self._runs), self._runs.idle_seconds)
             nested = self._routes.is_nested(call.route)
             self._report(call.route, nested)
             if not nested:
