Nested calls that seem to end after their run are adopted as well

Cause: only runs counted that end no sooner than the call. Ruled out: a larger margin, since the difference is as long as a run.

Change: if every run ends before the call, all of them count.

--- a/caperstack/trees/adoption.py
+++ b/caperstack/trees/adoption.py
@@ -52,9 +52,7 @@
             self._report(call.route, nested)
             if not nested:
                 return
-        runs = [
-            run for run in self._runs if run.deadline >= call.deadline - DEADLINE_MARGIN_SECONDS
-        ]
+        runs = self._possible_runs(call)
         if not runs:
             return
         moment = now()
@@ -65,6 +63,17 @@
         call.objective_at = max(call.objective_at, objective_at)
         self._metrics.count("nested_calls", service=call.service)
 
+    def _possible_runs(self, call):
+        """Return the runs that may have made `call`.
+
+        Notes
+        -----
+        A run that ends before the call has most likely not made it.  If that holds for all,
+        the backend server passes on no deadlines, or late ones, and any run may have made it.
+        """
+        earliest = call.deadline - DEADLINE_MARGIN_SECONDS
+        return [run for run in self._runs if run.deadline >= earliest] or list(self._runs)
+
     def _report(self, route, nested):
         if self._reported.get(route, False) != nested:
             self._reported[route] = nested
--- a/caperstack/trees/tests/test_adoption.py
+++ b/caperstack/trees/tests/test_adoption.py
@@ -109,6 +109,14 @@
         self.run_call(left=2.0, criticality=2)
         self.assertEqual(self.adopt(self.call(left=0.6)).criticality, 2)
 
+    async def test_all_runs_count_if_each_ends_before_the_call(self):
+        """A backend server passes on the time that it was given, not the time that is left."""
+        self.run_call(left=0.3, criticality=2, objective=0.25)
+        self.run_call(left=0.4, criticality=3, objective=0.35)
+        call = self.adopt(self.call(left=0.6))
+        self.assertEqual((call.depth, call.criticality), (1, 3))
+        self.assertAlmostEqual(call.objective_at, self.time + NESTED_SHARE * 0.35)
+
     async def test_depth_is_one_more_than_that_of_the_run(self):
         self.run_call(depth=2)
         self.assertEqual(self.adopt(self.call()).depth, 3)
