Adoption gives no objective to a nested call that has none

Cause: an `objective_at` of 0 stands for the deadline, and the later of 0 and a share of the run's time is that share: such a call would have got an objective before its deadline, and be refused or rank as late though it may take until then. The callers' port sets an objective always, so no caller was affected yet. Ruled out: nothing else.

Change: the call's deadline is compared where it has no objective.

Figures: test_call_without_an_objective_keeps_its_deadline_as_such fails before, passes after; the 18 tests of test_adoption pass.

--- a/caperstack/trees/adoption.py
+++ b/caperstack/trees/adoption.py
@@ -60,7 +60,7 @@
         call.criticality = max(call.criticality, *(run.criticality for run in runs))
         latest = max(run.objective_at or run.deadline for run in runs)
         objective_at = min(call.deadline, moment + NESTED_SHARE * (latest - moment))
-        call.objective_at = max(call.objective_at, objective_at)
+        call.objective_at = max(call.objective_at or call.deadline, objective_at)
         self._metrics.count("nested_calls", service=call.service)
 
     def _possible_runs(self, call):
--- a/caperstack/trees/tests/test_adoption.py
+++ b/caperstack/trees/tests/test_adoption.py
@@ -109,6 +109,12 @@
         self.run_call(left=2.0, criticality=2)
         self.assertEqual(self.adopt(self.call(left=0.6)).criticality, 2)
 
+    async def test_call_without_an_objective_keeps_its_deadline_as_such(self):
+        """A share of the run's time would set an objective where the call has none."""
+        self.run_call(objective=0.5)
+        call = self.adopt(self.call(objective_at=0.0))
+        self.assertEqual(call.objective_at or call.deadline, call.deadline)
+
     async def test_all_runs_count_if_each_ends_before_the_call(self):
         """A backend server passes on the time that it was given, not the time that is left."""
         self.run_call(left=0.3, criticality=2, objective=0.25)
