The routes reported as nested are bounded in number

Cause: the state of the reports kept each route that was ever nested, also after the routes whose use is judged were dropped at their bound; a node whose settings name new routes again and again would grow. Ruled out: keeping the flag with the counts, which would report a route again after each drop.

Change: a set of the routes reported as nested, with the bound of those that are judged.

--- a/caperstack/trees/adoption.py
+++ b/caperstack/trees/adoption.py
@@ -1,7 +1,7 @@
 """Give nested calls the urgency and the time of the run that waits for them."""
 
 from caperstack.clock import now
-from caperstack.trees.nested import NestedRoutes
+from caperstack.trees.nested import MAX_ROUTES, NestedRoutes
 
 __all__ = ["CallTrees"]
 
@@ -33,7 +33,7 @@
         self._runs = ()
         self._metrics = None
         self._events = None
-        self._reported = {}
+        self._reported = set()
 
     async def start(self, kernel):
         """Look up the services that the trees depend on."""
@@ -75,6 +75,12 @@
         return [run for run in self._runs if run.deadline >= earliest] or list(self._runs)
 
     def _report(self, route, nested):
-        if self._reported.get(route, False) != nested:
-            self._reported[route] = nested
-            self._events.state("nested route", not nested, nested, route)
+        if nested == (route in self._reported):
+            return
+        if len(self._reported) >= MAX_ROUTES:
+            self._reported.clear()
+        if nested:
+            self._reported.add(route)
+        else:
+            self._reported.discard(route)
+        self._events.state("nested route", not nested, nested, route)
--- a/caperstack/trees/nested.py
+++ b/caperstack/trees/nested.py
@@ -4,7 +4,7 @@
 
 from caperstack.clock import now
 
-__all__ = ["NestedRoutes"]
+__all__ = ["MAX_ROUTES", "NestedRoutes"]
 
 #: Least length of a window in which a route's arrivals are compared with the idle time, in
 #: seconds.  It is of the order of a run, so that few windows see a change of the load.
--- a/caperstack/trees/tests/test_adoption.py
+++ b/caperstack/trees/tests/test_adoption.py
@@ -8,6 +8,7 @@
 from caperstack import clock
 from caperstack.calls.model import Call
 from caperstack.trees.adoption import NESTED_SHARE, CallTrees
+from caperstack.trees.nested import MAX_ROUTES
 from caperstack.trees.runs import RunningCalls
 
 #: Calls of a run from which a route is known as nested in these tests.
@@ -191,6 +192,13 @@
             self.events.state.call_args_list[1:], [mock.call("nested route", True, False, "check")]
         )
 
+    async def test_state_of_the_reports_is_bounded(self):
+        """Settings are changed again and again, each time with routes of new names."""
+        with mock.patch("caperstack.trees.nested.NestedRoutes.is_nested", return_value=True):
+            for number in range(3 * MAX_ROUTES):
+                self.adopt(self.call(route=f"route {number}"))
+        self.assertLessEqual(len(self.trees._reported), MAX_ROUTES)
+
 
 if __name__ == "__main__":
     unittest.main()
