The play recognises nested calls, with a play of a service that runs call beyond its room

Cause: the play knew no nested calls, so that neither the part's gain nor its cost showed there. Ruled out: telling the play which calls are nested, which the callers' port doesn't know either.

Change: each call of the play is adopted at its entry the way the callers' port does it; the policy "nested calls like others" switches that off.

--- a/caperstack/play/hosts.py
+++ b/caperstack/play/hosts.py
@@ -17,6 +17,7 @@
 from caperstack.quarantine.suspects import Suspects
 from caperstack.routing.dispatch import Dispatcher
 from caperstack.routing.table import EffectiveService
+from caperstack.trees.adoption import CallTrees
 
 __all__ = ["PlayHost"]
 
@@ -172,6 +173,7 @@
         rate = scenario.health_per_second
         kernel.register("pace probe", HealthProbe(lambda: "/", lambda: rate))
         kernel.register("dispatcher", Dispatcher(here, rng, allowance))
+        kernel.register("call trees", CallTrees())
         await kernel.start()
         self.owner.set_cold_limit(self.service.cold_bears, self.service.cold_seconds)
         self._tasks = [
@@ -248,6 +250,7 @@
             attempts=kind.attempts,
         )
         call.objective_at = min(call.deadline, objective_at)
+        self.kernel.find("call trees").adopt(call)
         started = now()
         outcome = await self.kernel.find("dispatcher").dispatch(call)
         self.kernel.find("events").call("entry", call, outcome, started)
--- a/caperstack/play/policies.py
+++ b/caperstack/play/policies.py
@@ -40,6 +40,10 @@
     """Leave the limit unchanged."""
 
 
+def _leave_call(_trees, _call):
+    """Leave the call as it arrived."""
+
+
 def _keep_unlimited(_limit, _per_second, _cold_seconds=0.0):
     """Leave the number of starts at a cold server unlimited."""
 
@@ -134,6 +138,10 @@
     ),
     "no zone is nearer": ("load_aware", {"caperstack.routing.policies.ZONE_HOP_SECONDS": 0.0}),
     "callers return at once": ("load_aware", {f"{_GATE}.RETRY_DELAY_SHARE": 0.0}),
+    "nested calls like others": (
+        "load_aware",
+        {"caperstack.trees.adoption.CallTrees.adopt": _leave_call},
+    ),
     "returns not spread": ("load_aware", {f"{_GATE}.RETRY_JITTER": 0.0}),
     "return later after a refusal": (
         "load_aware",
--- a/caperstack/play/tests/test_play.py
+++ b/caperstack/play/tests/test_play.py
@@ -27,6 +27,12 @@
     return figures_of(results, kind)
 
 
+def figures_of_seed(name, policy, seed, kind):
+    """Return the `Figures` of one kind of call in a scenario file under a policy and a seed."""
+    scenario = parse_scenario((PLAYS / f"{name}.json").read_text(encoding="utf-8"))
+    return figures_of(play(scenario.model_copy(update={"seed": seed}), policy), kind)
+
+
 class TestVirtualTime(unittest.TestCase):
     """`run_virtual`."""
 
@@ -200,5 +206,17 @@
         self.assertGreater(shipped.in_time + shipped.late, 0.97)
 
 
+class TestNestedCalls(unittest.TestCase):
+    """Runs that call a service that has too little room."""
+
+    def test_fewer_runs_fail_for_a_nested_call(self):
+        """Stock checks of orders are refused while the stock's own callers are served."""
+        for seed in (1, 2, 3):
+            shipped = figures_of_seed("nested-overload", "shipped", seed, "order")
+            without = figures_of_seed("nested-overload", "nested calls like others", seed, "order")
+            self.assertEqual(shipped.asked, without.asked)
+            self.assertLess(shipped.failed, without.failed, seed)
+
+
 if __name__ == "__main__":
     unittest.main()
