--- a/caperstack/trees/adoption.py
+++ b/caperstack/trees/adoption.py
@@ -1,7 +1,7 @@
 """Give nested calls the urgency and the time of the run that waits for them."""
 
 from caperstack.clock import now
-from caperstack.trees.nested import NestedRoutes
+from caperstack.trees.nested import MAX_ROUTES, NestedRoutes
 
 __all__ = ["CallTrees"]
 
@@ -33,7 +33,7 @@
         self._runs = ()
         self._metrics = None
         self._events = None
-        self._reported = {}
+        self._reported = set()
 
     async def start(self, kernel):
         """Look up the services that the trees depend on."""
@@ -47,14 +47,12 @@
     def adopt(self, call):
         """Adjust `call`, which has just arrived from a caller, if a run has made it."""
         if not call.depth:
-            self._routes.record(call.route, len(self._runs), self._runs.idle_share)
+            self._routes.record(call.route, len(self._runs), self._runs.idle_seconds)
             nested = self._routes.is_nested(call.route)
             self._report(call.route, nested)
             if not nested:
                 return
-        runs = [
-            run for run in self._runs if run.deadline >= call.deadline - DEADLINE_MARGIN_SECONDS
-        ]
+        runs = self._possible_runs(call)
         if not runs:
             return
         moment = now()
@@ -62,10 +60,27 @@
         call.criticality = max(call.criticality, *(run.criticality for run in runs))
         latest = max(run.objective_at or run.deadline for run in runs)
         objective_at = min(call.deadline, moment + NESTED_SHARE * (latest - moment))
-        call.objective_at = max(call.objective_at, objective_at)
+        call.objective_at = max(call.objective_at or call.deadline, objective_at)
         self._metrics.count("nested_calls", service=call.service)
 
+    def _possible_runs(self, call):
+        """Return the runs that may have made `call`.
+
+        Notes
+        -----
+        A run that ends before the call has most likely not made it.  If that holds for all,
+        the backend server passes on no deadlines, or late ones, and any run may have made it.
+        """
+        earliest = call.deadline - DEADLINE_MARGIN_SECONDS
+        return [run for run in self._runs if run.deadline >= earliest] or list(self._runs)
+
     def _report(self, route, nested):
-        if self._reported.get(route, False) != nested:
-            self._reported[route] = nested
-            self._events.state("nested route", not nested, nested, route)
+        if nested == (route in self._reported):
+            return
+        if len(self._reported) >= MAX_ROUTES:
+            self._reported.clear()
+        if nested:
+            self._reported.add(route)
+        else:
+            self._reported.discard(route)
+        self._events.state("nested route", not nested, nested, route)
