Callers that read nothing of their answers are disconnected after a bounded time

What callers would see: a node that ends for want of memory, with all its calls, since other callers ask and don't read.

Cause: the kernel took each answer whole, up to 4 MB a connection, so that tornado saw it as written and went on with the next request of the same caller; nothing counted the bytes, and nothing closed the connection before two minutes of silence. Ruled out: tornado's own buffers (it reads no further request while an answer is in its buffer, and receives 64 kB at most meanwhile).

Change: the kernel takes 64 kB at most beyond what it can send; the rest of an answer is written in pieces as they leave the process. The connection is reset, so what arrived doesn't look whole.

Mended besides: a drain took an answer that was being written for delivered and closed its connection in the middle; requests that tornado had received before a connection was closed were run after it.

--- a/caperstack/callers/exchange.py
+++ b/caperstack/callers/exchange.py
@@ -1,6 +1,10 @@
 """A caller's request and its response, as a delegate of tornado's HTTP server."""
 
 import asyncio
+import fcntl
+import socket
+import struct
+import termios
 
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, ResponseStartLine
 from tornado.iostream import StreamClosedError
@@ -15,6 +19,15 @@
 #: caller can finish sending and read the response, in bytes.
 DISCARD_BYTES = 1024 * 1024 * 1024
 
+#: Bytes of a body that are written with the head, and sizes of the pieces that follow.  The
+#: next piece is written when the previous one has left the process, which shows the progress
+#: of slow readers.
+FIRST_PIECE_BYTES = 64 * 1024
+PIECE_BYTES = 16 * 1024
+
+#: ``struct linger`` with a time of zero: closing the socket resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 
 class Exchange(HTTPMessageDelegate):
     """A request and its response.
@@ -32,6 +45,10 @@
         Time on the local monotonic clock since which the connection waits for a request.
     due : float
         Time until which the request must have arrived: its head at first, then its body.
+    request_id : str
+        The request id; empty until the request has been handled.
+    held_bytes : int
+        Size of the body of the response.
 
     Notes
     -----
@@ -49,6 +66,9 @@
         self._reserved = 0
         self._responded = False
         self._task = None
+        self._unwritten = memoryview(b"")
+        self.request_id = ""
+        self.held_bytes = 0
         self.idle_since = now()
         self.due = deadline_after(port.limits.idle_seconds)
         port.incomplete.add(self)
@@ -85,6 +105,9 @@
         self._port.incomplete.discard(self)
         if self._responded:
             self._connection.finish()
+        elif self._connection.stream.closed():
+            # Tornado goes on with pipelined requests that it has read before the close.
+            self._done()
         else:
             self._task = asyncio.create_task(self._handle())
 
@@ -93,6 +116,7 @@
         self._port.incomplete.discard(self)
         if self._task is not None:
             self._task.cancel()
+        self._port.unread.remove(self)
         self._done()
 
     def give_up(self):
@@ -106,6 +130,28 @@
         self._port.incomplete.discard(self)
         self._connection.stream.close()
 
+    @property
+    def unread_bytes(self):
+        """Bytes of the response that the caller has not acknowledged.
+
+        What has been passed to tornado and not yet to the kernel, less than a piece, is left
+        out.
+        """
+        stream = self._connection.stream
+        if stream.closed():
+            return 0
+        queued = struct.pack("i", 0)
+        queued = fcntl.ioctl(stream.fileno(), termios.TIOCOUTQ, queued)
+        return len(self._unwritten) + struct.unpack("i", queued)[0]
+
+    def reset(self):
+        """Reset the connection, so that a response that was not read does not look complete."""
+        stream = self._connection.stream
+        self._unwritten = memoryview(b"")
+        if not stream.closed():
+            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            stream.close()
+
     def _refuse_size(self):
         bound = self._port.limits.body_bytes
         self._refuse(NotRun(f"body is larger than {bound} bytes", status=413))
@@ -127,6 +173,7 @@
             outcome, extra = Unknown("internal error", 500), []
         response = response_to(outcome, self._port.fractional_seconds)
         response.headers += extra
+        self.request_id = dict(extra).get(self._port.request_id_header, "")
         self._respond(response, close=self._port.draining)
 
     def _respond(self, response, close, finish=True):
@@ -141,14 +188,44 @@
         if close:
             headers["Connection"] = "close"
         line = ResponseStartLine("", response.status, response.reason)
+        self._unwritten = memoryview(response.body)
+        self.held_bytes = len(response.body)
         try:
-            self._connection.write_headers(line, headers, response.body)
+            written = self._connection.write_headers(
+                line, headers, self._next_piece(FIRST_PIECE_BYTES)
+            )
             if finish:
-                self._connection.finish()
+                self._write_rest(written)
         except StreamClosedError:
             self._port.metrics.count("callers_gone")
         self._done()
 
+    def _next_piece(self, size):
+        piece, self._unwritten = self._unwritten[:size], self._unwritten[size:]
+        return piece
+
+    def _write_rest(self, written):
+        """Write pieces until the caller has to read first; finish after the last one.
+
+        Tornado reads no further request until the finished response has been written.
+        """
+        stream = self._connection.stream
+        while self._unwritten and not stream.writing():
+            written = self._connection.write(self._next_piece(PIECE_BYTES))
+        if not self._unwritten:
+            self._connection.finish()
+        if stream.writing():
+            written.add_done_callback(self._on_written)
+            self._port.observe_unread(self)
+        else:
+            self._port.unread.remove(self)
+
+    def _on_written(self, written):
+        if self._unwritten and not self._connection.stream.closed():
+            self._write_rest(written)
+        else:
+            self._port.unread.remove(self)
+
     def _done(self):
         self._port.release(self._reserved)
         self._reserved = 0
--- a/caperstack/callers/port.py
+++ b/caperstack/callers/port.py
@@ -1,13 +1,16 @@
 """The HTTP port for callers, based on tornado's HTTP server."""
 
 import asyncio
+import socket
 from dataclasses import dataclass
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPServerConnectionDelegate
+from tornado.netutil import bind_sockets
 
 from caperstack.addresses import split_address
 from caperstack.callers.exchange import DISCARD_BYTES, Exchange
+from caperstack.callers.unread import UnreadAnswers
 from caperstack.callers.waiting import WaitEstimator
 from caperstack.calls.dialect import Dialect
 from caperstack.calls.fingerprint import fingerprint_of
@@ -37,6 +40,10 @@
 #: Interval between checks for idle connections and incomplete requests, in seconds.
 SWEEP_SECONDS = 1.0
 
+#: Bytes that the kernel accepts for a connection beyond those it can send.  Without this
+#: limit it holds some MB for each caller that does not read, which no count here includes.
+UNSENT_BYTES = 64 * 1024
+
 #: ``Retry-After`` of requests that arrive before the first settings, in seconds.
 NO_SETTINGS_SECONDS = 0.3
 
@@ -65,6 +72,8 @@
         Requests whose head has arrived and that have no response yet.
     incomplete : set of Exchange
         Idle connections, and requests whose body has not arrived completely.
+    unread : caperstack.callers.unread.UnreadAnswers
+        Responses that their callers have not read completely, by `Exchange`.
     draining : bool
         Whether callers are asked to close their connections.
     """
@@ -80,6 +89,7 @@
         self.limits = here.limits
         self.exchanges = set()
         self.incomplete = set()
+        self.unread = UnreadAnswers(here.limits)
         self.draining = False
         self._sweeper = None
 
@@ -88,10 +98,15 @@
         """Whether callers read fractions of a second in ``Retry-After``."""
         return self._dialect.fractional_seconds
 
+    @property
+    def request_id_header(self):
+        """Name of the header that contains the request id."""
+        return self._dialect.request_id
+
     @property
     def open_exchanges(self):
-        """Number of requests without a response."""
-        return len(self.exchanges)
+        """Number of requests without a response, or with one that is not read completely."""
+        return len(self.exchanges) + len(self.unread)
 
     async def start(self, kernel):
         """Start listening."""
@@ -111,7 +126,19 @@
             max_body_size=DISCARD_BYTES,
         )
         ip, port = split_address(self._here.caller_address)
-        self._server.listen(port, ip, backlog=1024)
+        sockets = bind_sockets(port, ip, backlog=1024)
+        for listening in sockets:
+            # Accepted connections inherit the option.
+            listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_BYTES)
+        self._server.add_sockets(sockets)
+        self.metrics.gauge(
+            "unread_answers", "answers that callers have not read", lambda: len(self.unread)
+        )
+        self.metrics.gauge(
+            "unread_answer_bytes",
+            "bytes held for callers that have not read their answers",
+            lambda: self.unread.held_bytes,
+        )
         self._sweeper = asyncio.create_task(self._sweep())
 
     async def stop(self):
@@ -143,6 +170,34 @@
             for exchange in [e for e in self.incomplete if e.due <= moment]:
                 self.metrics.count("callers_timed_out")
                 exchange.expire()
+            for exchange in self.unread:
+                self.unread.observe(exchange, exchange.held_bytes, exchange.unread_bytes)
+            for exchange in self.unread.overdue():
+                self._break_off(exchange, "no progress")
+            self._free_memory()
+
+    def observe_unread(self, exchange):
+        """Record how much of a response is unread; disconnect others if that is too much."""
+        self.unread.observe(exchange, exchange.held_bytes, exchange.unread_bytes)
+        self._free_memory()
+
+    def _free_memory(self):
+        for exchange in self.unread.excess():
+            self._break_off(exchange, "memory")
+
+    def _break_off(self, exchange, reason):
+        held_bytes = self.unread.held_bytes
+        answer = self.unread.remove(exchange)
+        self.metrics.count("answers_broken_off", reason=reason)
+        self._events.failure(
+            "answer broken off",
+            id=exchange.request_id,
+            reason=reason,
+            unread_bytes=answer.unread_bytes,
+            stalled_s=round(now() - answer.progress_at, 3),
+            held_bytes=held_bytes,
+        )
+        exchange.reset()
 
     def close_idle(self, seconds):
         """Close connections that have been idle for at least `seconds`.
@@ -150,7 +205,7 @@
         Returns
         -------
         int
-            Number of idle connections and open requests that are left.
+            Number of idle connections, open requests and unread responses that are left.
 
         Notes
         -----
@@ -164,7 +219,7 @@
         for exchange in [e for e in self.incomplete if moment - e.idle_since >= seconds]:
             if exchange not in self.exchanges:
                 exchange.expire()
-        return len(self.incomplete) + len(self.exchanges)
+        return len(self.incomplete) + self.open_exchanges
 
     def reserve(self, size):
         """Reserve `size` bytes for a part of a body; return whether they are available."""
--- a/caperstack/config/node.py
+++ b/caperstack/config/node.py
@@ -42,11 +42,14 @@
     body_bytes : int
         Maximum size of one request body, and of one response of the backend server.
     bodies_bytes : int
-        Maximum total size of the request bodies that the port for callers holds.
+        Maximum total size of the request bodies that the port for callers holds, and of the
+        answers that callers have not read.
     body_seconds : float
         Time in which a caller must send a whole request after its head.
     idle_seconds : float
         Time after which an idle connection of a caller is closed.
+    unread_seconds : float
+        Time after which the connection of a caller that reads nothing of its answer is closed.
     drain_seconds : float
         Maximum duration of a drain.
     link_bytes_per_second : float
@@ -57,6 +60,7 @@
     bodies_bytes: int = 32 * MEBIBYTE
     body_seconds: float = 30.0
     idle_seconds: float = 120.0
+    unread_seconds: float = 30.0
     drain_seconds: float = 30.0
     link_bytes_per_second: float = 0.0
 
--- a/caperstack/config/start.py
+++ b/caperstack/config/start.py
@@ -78,6 +78,7 @@
     bodies_bytes: int = Field(96 * MEBIBYTE, ge=1024, le=256 * MEBIBYTE)
     body_seconds: float = Field(30.0, gt=0, le=600)
     idle_seconds: float = Field(120.0, gt=0, le=3600)
+    unread_seconds: float = Field(30.0, gt=0, le=600)
     drain_seconds: float = Field(30.0, gt=0, le=600)
     link_bytes_per_second: float = Field(0.0, ge=0)
 
