The benchmarks start again, and their calls are answered

Cause: bench-transports built a LoadReport by position, without the field pace that was added later.

Ruled out: the backend client; nodes always give calls an id and pass on the Host header.

Change: LoadReport by name, calls with Host and a request id, at least one round of processor times.

--- a/caperstack/bench/hop.py
+++ b/caperstack/bench/hop.py
@@ -8,6 +8,7 @@
 
 from caperstack.backend.client import BackendClient
 from caperstack.bench.fleet import Fleet, node_settings
+from caperstack.calls.headers import request_id
 from caperstack.calls.model import Call
 from caperstack.clock import deadline_after, now
 from caperstack.load.report import latency_histogram
@@ -51,11 +52,11 @@
     return Call(
         id=0,
         origin="",
-        request_id="",
+        request_id=request_id(""),
         service="",
         method="POST",
         target=target,
-        headers=[("Content-Type", "application/octet-stream")],
+        headers=[("Host", "x"), ("Content-Type", "application/octet-stream")],
         body=b"x" * BODY_BYTES,
         deadline=deadline_after(CALL_SECONDS),
         idempotent=False,
@@ -105,7 +106,7 @@
         for path in paths:
             path.client = BackendClient(path.address, 10, ANSWER_BYTES)
         await _measure(paths, options.rounds)
-        return paths, await _processor_times(fleet, paths, options.rounds // 2)
+        return paths, await _processor_times(fleet, paths, max(1, options.rounds // 2))
 
 
 def _figures(paths, times):
--- a/caperstack/bench/routing.py
+++ b/caperstack/bench/routing.py
@@ -11,6 +11,7 @@
 from caperstack.backend.client import BackendClient
 from caperstack.bench.counters import counter_sum, fleet_counters
 from caperstack.bench.fleet import Fleet, node_settings
+from caperstack.calls.headers import request_id
 from caperstack.calls.model import Call
 from caperstack.clock import deadline_after, now
 from caperstack.exception import BackendError
@@ -179,11 +180,11 @@
     return Call(
         id=0,
         origin="",
-        request_id="",
+        request_id=request_id(""),
         service="",
         method="GET",
         target="/s/x",
-        headers=[],
+        headers=[("Host", "x")],
         body=b"",
         deadline=deadline_after(CALL_SECONDS),
         idempotent=True,
--- a/caperstack/bench/transports.py
+++ b/caperstack/bench/transports.py
@@ -10,6 +10,7 @@
 from caperstack.addresses import split_address
 from caperstack.backend.client import BackendClient
 from caperstack.bench.fleet import Process, free_addresses
+from caperstack.calls.headers import request_id
 from caperstack.calls.model import Call
 from caperstack.clock import deadline_after, now
 from caperstack.load.report import latency_histogram
@@ -22,9 +23,12 @@
 
 BODY = b"x" * 512
 ROUND_CALLS = 100
+CALL_SECONDS = 10.0
 METHOD = "/echo/Echo"
 STREAM = "/echo/Stream"
-NO_LOAD = LoadReport(0, 0, 0, 0, 0, 0, 0)
+NO_LOAD = LoadReport(
+    in_flight=0, queued=0, limit=0, service_us=0, state=0, failing=0, published=0, pace=0
+)
 
 
 # -- servers -------------------------------------------------------------------
@@ -101,12 +105,26 @@
     return one
 
 
+def _call():
+    return Call(
+        id=0,
+        origin="",
+        request_id=request_id(""),
+        service="",
+        method="POST",
+        target="/",
+        headers=[("Host", "x")],
+        body=BODY,
+        deadline=deadline_after(CALL_SECONDS),
+        idempotent=True,
+    )
+
+
 async def _http_caller(address):
     client = BackendClient(address, 4, 1 << 20)
 
     async def one():
-        call = Call(0, "", "", "", "POST", "/", [], BODY, deadline_after(10.0), True)
-        await client.fetch(call)
+        await client.fetch(_call())
 
     return one
 
