Operators can explain a body refused over a busy link, within the bounds of the log

Cause, found by review: `owner refuses body` was a line about a step, not a refusal: it named no reason and had no bound of its own, so that an overload of uploads used up the lines of all other requests.

Change: the line is a refusal, with its reason and the entry (10 lines a second for each reason, as `owner refuses`).

--- a/caperstack/admission/staging.py
+++ b/caperstack/admission/staging.py
@@ -130,13 +130,15 @@
         return None
 
     def _refusal(self, call, transfer, link_wait, seconds):
+        reason = LINK_BUSY if link_wait else TOO_LATE
         self._metrics.count("body_transfers", outcome="refused")
-        self._events.decision(
+        self._events.refusal(
             "owner refuses body",
             call,
+            reason,
+            origin=call.origin,
             body_bytes=transfer.size,
             wait_ms=round((link_wait + seconds) * 1000),
             waiting=self._turns.waiting,
         )
-        reason = LINK_BUSY if link_wait else TOO_LATE
         return NotRun(reason, self._gate.retry_after(call, link_wait + seconds))
--- a/caperstack/admission/tests/test_staging.py
+++ b/caperstack/admission/tests/test_staging.py
@@ -1,15 +1,22 @@
 """Tests of the staging of large bodies, in an owner in virtual time."""
 
 import asyncio
+import os
 import random
 import unittest
+from collections import Counter
 from dataclasses import dataclass
 
+import msgspec
+
 from caperstack.admission.staging import LINK_BUSY
 from caperstack.admission.tests.ownercase import start_owner
 from caperstack.calls.model import Answered, Call, NotRun, ServerState
 from caperstack.clock import deadline_after, now
+from caperstack.events.log import REFUSAL_LINES_PER_SECOND, LogWriter
+from caperstack.events.ring import EventRing
 from caperstack.exception import PeerError
+from caperstack.operators.metrics import Metrics
 from caperstack.play.tests.virtualcase import in_virtual_time
 from caperstack.play.virtual import run_virtual
 from caperstack.transfers.link import LinkBudget
@@ -98,10 +105,12 @@
 class OwnerCase(unittest.TestCase):
     """Plays work with an owner of three slots behind a thin link."""
 
+    services = {}
+
     def play(self, work, budget=BUDGET):
         async def played():
             self.server, self.link, self.bodies = FakeServer(), FakeLink(), {}
-            self.owner = await start_owner(self.server, SLOTS, 1.0, budget)
+            self.owner = await start_owner(self.server, SLOTS, 1.0, budget, **self.services)
             self.owner.assign("i-1", "s")
             self.owner.set_health(ServerState.WARM)
             for number in range(10):
@@ -313,6 +322,34 @@
         self.play(work, None)
 
 
+class TestOperators(OwnerCase):
+    """What the log and the metrics say of bodies."""
+
+    def setUp(self):
+        reader, writer = os.pipe()
+        self.lines = self.enterContext(open(reader, "rb"))
+        self.addCleanup(os.close, writer)
+        self.metrics = Metrics("h")
+        log = LogWriter(writer, "127.0.0.13")
+        self.services = {"events": EventRing("h", log), "metrics": self.metrics}
+
+    @in_virtual_time
+    async def test_refused_bodies_are_explained_within_the_bounds_of_the_log(self):
+        """Guards against refusals that use up the lines of all other requests."""
+        uploads = [self.upload(f"{n:016x}", objective=0.25) for n in range(100)]
+        await asyncio.gather(*(self.owner.run(call) for call in uploads))
+        os.set_blocking(self.lines.fileno(), False)
+        lines = [msgspec.json.decode(line) for line in self.lines.readlines()]
+        told = Counter((line["kind"], line.get("reason", "")) for line in lines)
+        self.assertEqual(told["owner fetches body", ""], 2)
+        for kind in ("owner refuses body", "owner refuses"):
+            self.assertEqual(told[kind, LINK_BUSY], REFUSAL_LINES_PER_SECOND)
+        transfers = [
+            self.metrics.value("body_transfers", outcome=o) for o in ("received", "refused")
+        ]
+        self.assertEqual(transfers, [2, 98])
+
+
 @dataclass
 class Played:
     """What became of one call of the load."""
