Tests of the choice of servers for large bodies

Cause: that entries avoid a host whose link is busy with other bodies, and that nothing changes for small bodies, idle links and links without a known rate, had no test. No fault was found.

Change: the fixture of test_dispatch takes a link and a body; a class of four tests.

--- a/caperstack/routing/tests/test_dispatch.py
+++ b/caperstack/routing/tests/test_dispatch.py
@@ -15,6 +15,7 @@
 from caperstack.routing.budgets import CallBudget, share_at_depth
 from caperstack.routing.dispatch import Dispatcher
 from caperstack.routing.table import EffectiveService
+from caperstack.transfers.link import LinkBudget
 
 OK_ANSWER = Answered(200, "OK", [], b"whole")
 ERROR_ANSWER = Answered(500, "Error", [], b"")
@@ -53,7 +54,7 @@
 class DispatcherFixture:
     """A dispatcher and members with fake owners."""
 
-    def __init__(self, *owners, zones="aaaaaaaa", **settings):
+    def __init__(self, *owners, zones="aaaaaaaa", link=None, **settings):
         here = SimpleNamespace(
             host="me",
             zone="a",
@@ -71,7 +72,7 @@
             "events": mock.Mock(),
             "suspects": Suspects(),
         }
-        self.dispatcher = Dispatcher(here, random.Random(1))
+        self.dispatcher = Dispatcher(here, random.Random(1), link=link)
         kernel = SimpleNamespace(find=services.__getitem__)
         asyncio.run(self.known.start(kernel))
         for number, owner in enumerate(owners):
@@ -87,8 +88,8 @@
     def count(self, name, **_):
         self.counts[name] = self.counts.get(name, 0) + 1
 
-    def dispatch(self, idempotent=False, seconds=5.0):
-        call = Call(0, "me", "r", "s", "POST", "/", [], b"", deadline_after(seconds), idempotent)
+    def dispatch(self, idempotent=False, seconds=5.0, body=b""):
+        call = Call(0, "me", "r", "s", "POST", "/", [], body, deadline_after(seconds), idempotent)
         return asyncio.run(self.dispatcher.dispatch(call))
 
 
@@ -208,6 +209,36 @@
         self.assertEqual(first.calls, [])
 
 
+class TestLargeBodies(unittest.TestCase):
+    """The choice between a fast server whose link is busy and a slow one."""
+
+    def calls(self, rate, size, link_wait_ms=400, own=0.0):
+        """Return the calls that each server gets of one with a body of `size` bytes."""
+        owners = [FakeOwner(OK_ANSWER), FakeOwner(OK_ANSWER)]
+        fixture = DispatcherFixture(*owners, link=LinkBudget(own))
+        for member, service_us in zip(fixture.members, (20_000, 40_000), strict=True):
+            wait_ms, link_wait_ms = link_wait_ms, 0
+            member.estimate.body_bytes_per_second = rate
+            load = Load(limit=20, service_us=service_us, link_wait_ms=wait_ms)
+            member.estimate.update_load(load)
+        fixture.dispatch(body=bytes(size))
+        return [len(owner.calls) for owner in owners]
+
+    def test_large_body_avoids_a_busy_link(self):
+        self.assertEqual(self.calls(680_000, 60_000), [0, 1])
+        self.assertEqual(self.calls(0, 60_000, own=800_000.0), [0, 1])
+
+    def test_small_body_goes_to_the_best_server(self):
+        self.assertEqual(self.calls(680_000, 1_000), [1, 0])
+
+    def test_large_body_goes_to_the_best_server_if_no_link_is_busy(self):
+        self.assertEqual(self.calls(680_000, 60_000, link_wait_ms=0), [1, 0])
+
+    def test_without_a_known_link_bodies_make_no_difference(self):
+        """Guards against deployments without a rate that are served otherwise than before."""
+        self.assertEqual(self.calls(0, 60_000), [1, 0])
+
+
 class TestBudget(unittest.TestCase):
     """Budgets over the levels of a call tree."""
 
