Bodies that exceed the sender's link go one after the other, in place of all too late

Cause, found by a trial over loopback: an entry whose own link is thin shared it among all bodies that owners had asked for. With more than some four at once each came later than twice its expected time, was given up by its owner, and none arrived. Ruled out: the owner's turns (its link was not known, so all bodies were asked for at once, as is right for hosts with wide links); a rate that the owner misread (100 ms expected for 68 kB).

Change: earlier bodies go first, and later ones use what these leave of the link. A timer that fires late is made up for by up to one piece, so that neither a body's nor the link's rate falls.

--- a/caperstack/transfers/pacing.py
+++ b/caperstack/transfers/pacing.py
@@ -1,6 +1,8 @@
 """Pacing of the large bodies that an entry sends over its host's link."""
 
 import asyncio
+import heapq
+import itertools
 import math
 
 from caperstack.clock import now
@@ -26,6 +28,9 @@
     def __init__(self, budget):
         self._budget = budget
         self._link_free_at = 0.0
+        self._arrivals = itertools.count()
+        self._waiting = []
+        self._timer = None
 
     async def pieces(self, body, bytes_per_second):
         """Yield the pieces of `body`, each when it may be sent.
@@ -36,25 +41,49 @@
             The whole body.
         bytes_per_second : float
             The rate that the receiver grants.
+
+        Notes
+        -----
+        If the link can't carry all bodies, the earlier ones go first.  With equal shares all of
+        them would come too late.
         """
         own = self._budget.bytes_per_second or math.inf
         rate = min(own, bytes_per_second)
         size = min(max(int(rate * PIECE_SECONDS), MIN_PIECE_BYTES), MAX_PIECE_BYTES)
+        order = next(self._arrivals)
         next_at = now()
         for start in range(0, len(body), size):
             piece = body[start : start + size]
-            # Taken before the sleep, so that a timer that fires late does not lower the rate.
-            next_at = max(next_at, now())
-            await _sleep_until(next_at)
-            # The link is taken only once the piece may go, so that a body at a low rate does
-            # not keep it from others between two pieces.
-            next_at = max(next_at, self._link_free_at)
-            self._link_free_at = next_at + len(piece) / own
-            await _sleep_until(next_at)
+            if next_at > now():
+                await asyncio.sleep(next_at - now())
+            await self._take_link(order, len(piece) / own)
             yield piece
-            next_at += len(piece) / rate
+            # A piece that goes late does not delay the following ones, by up to one piece.
+            next_at = max(next_at, now() - size / rate) + len(piece) / rate
+
+    async def _take_link(self, order, seconds):
+        """Take the link for `seconds` once it is free and no earlier body waits for it."""
+        if not self._waiting and now() >= self._link_free_at:
+            self._occupy(seconds)
+            return
+        turn = asyncio.get_running_loop().create_future()
+        heapq.heappush(self._waiting, (order, seconds, turn))
+        self._set_timer()
+        await turn
+
+    def _occupy(self, seconds):
+        # A timer that fires late, by up to one piece, does not lower the rate of the link.
+        self._link_free_at = max(self._link_free_at, now() - PIECE_SECONDS) + seconds
 
+    def _set_timer(self):
+        if self._timer is None and self._waiting:
+            wait = max(0.0, self._link_free_at - now())
+            self._timer = asyncio.get_running_loop().call_later(wait, self._wake_next)
 
-async def _sleep_until(moment):
-    if moment > now():
-        await asyncio.sleep(moment - now())
+    def _wake_next(self):
+        self._timer = None
+        _, seconds, turn = heapq.heappop(self._waiting)
+        if not turn.done():
+            self._occupy(seconds)
+            turn.set_result(None)
+        self._set_timer()
