A call may queue for a slot's turn at servers of few slots before it is moved on

What callers saw: at servers that run two calls at once, calls were offered to three owners and refused by each within milliseconds, and then waited at a fourth.

Cause: a call that had servers left was refused where it would wait over a quarter of the usual work, whatever the number of slots. With 14 calls at once one ends each fourteenth of that; with two, each half: nearly no owner could ever take such a call, nor could any other.

Change: it may queue as long as one slot takes to become free, 1/limit of the usual work, or a quarter of it if that is longer. Servers of four calls at once and more are as before.

--- a/caperstack/routing/candidates.py
+++ b/caperstack/routing/candidates.py
@@ -6,10 +6,11 @@
 from caperstack.routing.policies import Context, choose
 from caperstack.transfers.link import LinkBudget
 
-__all__ = ["Candidates", "QUEUE_WAIT_FACTOR", "baseline_seconds"]
+__all__ = ["Candidates", "QUEUE_WAIT_FACTOR", "baseline_seconds", "patience_seconds"]
 
 #: How long a call may queue at an owner before another server is tried, in baseline
-#: service times; the last attempt may queue until the deadline.
+#: service times; the last attempt may queue until the deadline.  Where few calls run at
+#: once, it may queue for the mean time until one of them ends.
 QUEUE_WAIT_FACTOR = 0.25
 
 #: Largest share of a service's members that may be ejected at the same time.
@@ -107,8 +108,8 @@
             for member in members
             if member not in tried
             and not member.estimate.slowed
-            and member.estimate.expected_wait(baseline) <= QUEUE_WAIT_FACTOR * baseline
-            and self._link_wait(call, member) <= QUEUE_WAIT_FACTOR * baseline
+            and member.estimate.expected_wait(baseline) <= patience_seconds(member, baseline)
+            and self._link_wait(call, member) <= patience_seconds(member, baseline)
         ]
 
     def _link_wait(self, call, member):
@@ -158,6 +159,17 @@
         return healthy or usable
 
 
+def patience_seconds(member, baseline):
+    """Return how long a call may queue at `member` before another server is tried, in seconds.
+
+    Notes
+    -----
+    A shorter wait than the time until the next slot would be free anywhere only moves calls
+    from one full server of few slots to the next, each for an exchange of messages.
+    """
+    return max(QUEUE_WAIT_FACTOR, 1.0 / max(1, member.estimate.limit)) * baseline
+
+
 def baseline_seconds(members, state):
     """Return the median service time that the owners of `members` report, in seconds.
 
--- a/caperstack/routing/dispatch.py
+++ b/caperstack/routing/dispatch.py
@@ -9,7 +9,7 @@
 from caperstack.exception import PeerError
 from caperstack.quarantine.suspects import Verdict
 from caperstack.routing.budgets import CallBudget, share_at_depth
-from caperstack.routing.candidates import QUEUE_WAIT_FACTOR, Candidates
+from caperstack.routing.candidates import Candidates, patience_seconds
 from caperstack.routing.service import INITIAL_BASELINE_SECONDS, Attempts, ServiceState
 
 __all__ = ["Dispatcher"]
@@ -189,7 +189,7 @@
         attempt.last = last or len(self._members.of_service(call.service)) < 2
         attempt.queue_until = call.deadline
         if not attempt.last:
-            queue_limit = deadline_after(QUEUE_WAIT_FACTOR * state.baseline_seconds)
+            queue_limit = deadline_after(patience_seconds(member, state.baseline_seconds))
             attempt.queue_until = min(call.deadline, queue_limit)
         begun = attempt.sent_at = now()
         call.notes.append((begun, f"to {member.host}"))
--- a/caperstack/routing/estimates.py
+++ b/caperstack/routing/estimates.py
@@ -114,6 +114,11 @@
         """Whether the host is so slow at the moment that the owner would refuse calls."""
         return self._slowdown() >= SLOWED_PACE
 
+    @property
+    def limit(self):
+        """The concurrency limit in the last load report."""
+        return self._load.limit
+
     @property
     def rate_limit(self):
         """The rate limit in the last load report, in requests per 1000 seconds; 0 if none."""
