Nested routes are known sooner at servers that are seldom idle

Change: windows of half a second that count for two calls at most; six expected calls, and the share that may contradict counts for the further ones only, so that the judgement at each call keeps to the stated chance.

--- a/caperstack/trees/nested.py
+++ b/caperstack/trees/nested.py
@@ -8,13 +8,17 @@
 
 #: Least length of a window in which a route's arrivals are compared with the idle time, in
 #: seconds.  It is of the order of a run, so that few windows see a change of the load.
-WINDOW_SECONDS = 0.25
+WINDOW_SECONDS = 0.5
 
-#: Windows with an arrival while nothing ran that are expected of callers, from which a route
-#: can be judged; chance is one in three hundred.
-MIN_EXPECTED_IDLE = 8.0
+#: Greatest number of calls that one window may add to the evidence.  The calls that arrive
+#: during the same run are no independent evidence.
+MAX_CALLS_PER_WINDOW = 2.0
 
-#: Share of them up to which a route counts as called by runs.  A run that was given up may
+#: Calls of a route that would have arrived while nothing ran, if they came from callers, from
+#: which the route can be judged; with none of six, chance is one in four hundred.
+MIN_EXPECTED_IDLE = 6.0
+
+#: Share of the further ones that may arrive while nothing runs.  A run that was given up may
 #: still make a call after its owner has forgotten it.
 MAX_IDLE_SHARE = 0.15
 
@@ -28,7 +32,7 @@
 
 @dataclass(slots=True)
 class _Evidence:
-    """Windows of one route in which a call arrived while nothing ran.
+    """Arrivals of one route, and those of them while nothing ran.
 
     Attributes
     ----------
@@ -37,7 +41,8 @@
     arrivals, idle_arrivals : int
         Calls in the current window, and those of them that arrived while nothing ran.
     expected, counted : float
-        Windows with such a call: expected if callers made the calls, and counted.
+        Arrivals while nothing ran in earlier windows: expected if callers made them, and
+        counted.
     """
 
     began_at: float
@@ -50,8 +55,8 @@
     def close_window(self, moment, idle_seconds):
         """Add the current window to the counts and begin the next one."""
         idle_share = (idle_seconds - self.idle_seconds) / (moment - self.began_at)
-        self.expected += min(1.0, self.arrivals * idle_share)
-        self.counted += self.idle_arrivals > 0
+        self.expected += min(MAX_CALLS_PER_WINDOW, self.arrivals * idle_share)
+        self.counted += min(MAX_CALLS_PER_WINDOW, self.idle_arrivals)
         if self.expected > MAX_EXPECTED_IDLE:
             self.expected /= 2
             self.counted /= 2
@@ -70,8 +75,7 @@
 
     Arrivals are compared with the idle time of the same window.  Against an average over a
     longer time, all callers' calls would look nested while a burst or one long run keeps a
-    server busy that was idle before.  A window counts at most once, since the calls that
-    arrive during one run are no independent evidence.
+    server busy that was idle before.
     """
 
     def __init__(self):
@@ -104,6 +108,6 @@
     def is_nested(self, route):
         """Return whether the local backend server's runs make the calls of `route`."""
         evidence = self._routes.get(route)
-        if evidence is None or evidence.expected < MIN_EXPECTED_IDLE:
+        if evidence is None:
             return False
-        return evidence.counted <= MAX_IDLE_SHARE * evidence.expected
+        return evidence.expected >= MIN_EXPECTED_IDLE + evidence.counted / MAX_IDLE_SHARE
--- a/caperstack/trees/tests/test_nested.py
+++ b/caperstack/trees/tests/test_nested.py
@@ -155,6 +155,15 @@
             self.assertEqual(self.times_nested(server, "nested", LONG_SECONDS / 2), looks, seed)
             self.assertEqual(self.times_nested(server, "callers", LONG_SECONDS / 4), 0, seed)
 
+    def test_chance_hardly_ever_makes_a_route_of_callers_nested(self):
+        # The stated chance is one in four hundred.
+        seeds = range(1, 201)
+        found = 0
+        for seed in seeds:
+            server = self.start_server(seed, 0.8)
+            found += self.times_nested(server, "callers", LONG_SECONDS / 2) > 0
+        self.assertLessEqual(found, 1)
+
     def test_few_calls_of_given_up_runs_do_not_contradict(self):
         server = self.start_server(1, 0.5)
         server.mixed_per_second = 0.1
