The soak has callers that stop reading large answers

Eight callers of one node stop for five seconds, three for about one, beside all other faults; with the memory of the soak's hosts the eight hold more than stalled callers may. Guarantees: what a slow caller gets is whole or visibly ends early, early only if it paused for long or its node was in trouble, and at least a quarter of the other requests at that node are served.

Ruled out: a place in the series of the servers' faults, whose end a run of 25 s doesn't reach. A first try with five callers of each kind broke nothing off: those that stopped for a moment were gone when the others counted as stalled.

--- a/caperstack/platform/standin/instance.py
+++ b/caperstack/platform/standin/instance.py
@@ -62,6 +62,8 @@
         Stated in every response as the leaving mark, if not empty.
     body : bytes
         Body of the responses to requests that ran.
+    bodies : dict of str to bytes
+        The same for particular request targets, in place of `body`.
     """
 
     seconds: float = 0.0
@@ -83,6 +85,11 @@
     rejections_state_limit: bool = True
     leaving: str = ""
     body: bytes = b"whole answer"
+    bodies: dict = field(default_factory=dict)
+
+    def body_for(self, target):
+        """Return the body of the response to a request for `target`."""
+        return self.bodies.get(target, self.body)
 
 
 @dataclass(frozen=True, slots=True)
@@ -245,12 +252,8 @@
         elif behaviour.unframed:
             self._write_unframed(request)
         else:
-            self._write(
-                request,
-                behaviour.status,
-                behaviour.body,
-                {SERVER_SEAL_HEADER: str(len(behaviour.body))},
-            )
+            body = behaviour.body_for(request.uri)
+            self._write(request, behaviour.status, body, {SERVER_SEAL_HEADER: str(len(body))})
 
     def _headers(self, request, more):
         headers = HTTPHeaders(more)
@@ -285,9 +288,9 @@
             )
 
     def _write_unframed(self, request):
-        headers = self._headers(request, {SERVER_SEAL_HEADER: str(len(self.behaviour.body))})
+        body = self.behaviour.body_for(request.uri)
+        headers = self._headers(request, {SERVER_SEAL_HEADER: str(len(body))})
         head = "".join(f"{name}: {value}\r\n" for name, value in headers.get_all())
-        body = self.behaviour.body
         complete = self.behaviour.unframed == "whole"
         stream = request.connection.stream
         stream.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode() + body[: None if complete else 5])
--- a/caperstack/soak/checks.py
+++ b/caperstack/soak/checks.py
@@ -4,11 +4,23 @@
 from collections import Counter, defaultdict
 from itertools import pairwise
 
-from caperstack.soak.client import CONNECTION_CLOSED, CONNECTION_REFUSED, RequestRecord
+from caperstack.soak.client import (
+    BROKEN_OFF,
+    CONNECTION_CLOSED,
+    CONNECTION_REFUSED,
+    LARGE_PATH,
+    RequestRecord,
+)
 from caperstack.soak.faults import FAULTS
 from caperstack.soak.verdict import Verdict
 
-__all__ = ["CONNECTION_CLOSED", "CONNECTION_REFUSED", "RequestRecord", "check_guarantees"]
+__all__ = [
+    "BROKEN_OFF",
+    "CONNECTION_CLOSED",
+    "CONNECTION_REFUSED",
+    "RequestRecord",
+    "check_guarantees",
+]
 
 #: A draining state and a configuration must be in force on all nodes this long after
 #: they were written to the store, in seconds.
@@ -31,6 +43,11 @@
 MAX_RATE_FACTOR = 1.5
 RATE_SLACK = 5
 
+#: Beside callers that do not read, at least this share of the requests of others must be
+#: answered with 200, if there are this many.  Faults of servers fail the rest.
+SERVED_SHARE = 0.25
+MIN_OTHERS = 10
+
 REFUSAL_STATUSES = frozenset((408, 421, 429, 503))
 
 
@@ -71,6 +88,7 @@
         if host.instance.overloaded
     ]
     broken["fatal request kept away"] = list(_fatal_requests_not_blocked(state, runs))
+    broken["others are served"] = list(_unserved_beside_slow_readers(state, requests))
     broken["node"] = list(state.problems)
     outcomes = Counter(request.code for request in requests)
     found = {guarantee: cases for guarantee, cases in broken.items() if cases}
@@ -94,7 +112,9 @@
     fault_active = state.fault_active(
         request.begun - SCHEDULING_SLACK_SECONDS, request.ended, request.host
     )
-    if request.code == CONNECTION_CLOSED and not fault_active:
+    cut = request.code == CONNECTION_CLOSED
+    cut |= request.code == BROKEN_OFF and not request.may_break_off
+    if cut and not fault_active:
         yield "cut by planned work"
     if not _ran_configured_service(state, request, runs):
         yield "configuration in force"
@@ -180,6 +200,23 @@
                     yield f"{run.name} at {host.ip}, {run.at - evacuation.begin:.2f} s after"
 
 
+def _unserved_beside_slow_readers(state, requests):
+    """Yield the periods in which too few other requests succeeded beside slow readers."""
+    for period in state.slow_readers:
+        if state.fault_active(period.begin - SCHEDULING_SLACK_SECONDS, period.end, period.host):
+            continue
+        codes = [
+            request.code
+            for request in requests
+            if request.host == period.host
+            and request.path != LARGE_PATH
+            and period.begin <= request.begun <= period.end
+        ]
+        served = codes.count(200)
+        if len(codes) >= MIN_OTHERS and served < SERVED_SHARE * len(codes):
+            yield f"{period.host} served {served} of {len(codes)}"
+
+
 def _fatal_requests_not_blocked(state, runs):
     """Yield the fatal targets that were sent to servers too often after their third crash."""
     period_limits = [0.0, *sorted(state.kill_all_times), float("inf")]
--- a/caperstack/soak/faults.py
+++ b/caperstack/soak/faults.py
@@ -5,8 +5,8 @@
 import signal
 
 from caperstack.clock import now
-from caperstack.soak.client import ask
-from caperstack.soak.state import Change, RateLimitPeriod
+from caperstack.soak.client import ask, ask_and_pause
+from caperstack.soak.state import Change, RateLimitPeriod, SlowReadersPeriod
 
 __all__ = [
     "COLD_TOLERATED_PER_SECOND",
@@ -16,6 +16,7 @@
     "PROCESS_FAULTS",
     "RESTORE",
     "STATEMENTS",
+    "STOP_READING",
     "change_configuration",
 ]
 
@@ -58,6 +59,19 @@
 FATAL_SECONDS = 10.0
 FATAL_RETRY_SECONDS = (0.02, 0.5)
 
+#: Callers that stop reading together, for long and for a short time.  With the memory of the
+#: soak's hosts, the answers of the former exceed the limit that holds for stalled callers, and
+#: all answers together do not exceed the other one.
+LONG_PAUSE_CALLERS = 8
+SHORT_PAUSE_CALLERS = 3
+
+#: Pauses of these callers in seconds.  A node takes a caller for stalled after 2 s.
+LONG_PAUSE_SECONDS = 5.0
+SHORT_PAUSE_SECONDS = (0.3, 1.2)
+
+#: Time between the requests of the two kinds, in seconds.
+SHORT_PAUSES_DELAY_SECONDS = 0.5
+
 
 async def _restart_node(state, host, window):
     await host.node.ended()
@@ -210,6 +224,27 @@
     state.requests += await asyncio.gather(*tasks)
 
 
+async def stop_reading(state):
+    """Callers of one node stop reading large answers, for long and for a short time."""
+    host = state.random_host()
+    period = SlowReadersPeriod(host.ip, now())
+    state.slow_readers.append(period)
+    tasks = [
+        asyncio.create_task(ask_and_pause(state, host, LONG_PAUSE_SECONDS, may_break_off=True))
+        for _ in range(LONG_PAUSE_CALLERS)
+    ]
+    # Those that pause for long make no progress for longest, so they must give way first.
+    await asyncio.sleep(SHORT_PAUSES_DELAY_SECONDS)
+    tasks += [
+        asyncio.create_task(
+            ask_and_pause(state, host, state.rng.uniform(*SHORT_PAUSE_SECONDS), False)
+        )
+        for _ in range(SHORT_PAUSE_CALLERS)
+    ]
+    state.requests += await asyncio.gather(*tasks)
+    period.end = now()
+
+
 async def crash_server(state):
     """Crash a backend server independently of the requests it runs; it restarts."""
     state.fleet.crash(state.random_host())
@@ -285,6 +320,9 @@
 #: The fault that loses the last writes to the store.
 RESTORE = "store restored"
 
+#: The fault of callers; it runs concurrently with all others.
+STOP_READING = "callers stop reading"
+
 #: The faults of servers that state something about themselves in their answers.
 STATEMENTS = {
     "server states a rate limit": state_rate_limits,
@@ -312,6 +350,7 @@
         "server fails": _server_fault(2.0, status=500),
         "server has a neighbour": _server_fault(2.0, pace=4.0),
         "configuration": change_configuration,
+        STOP_READING: stop_reading,
     }
     | STATEMENTS
 )
--- a/caperstack/soak/platform.py
+++ b/caperstack/soak/platform.py
@@ -7,7 +7,7 @@
 from caperstack.clock import deadline_after, now
 from caperstack.platform.standin.fleet import PlatformFleet, route_row
 from caperstack.soak.checks import check_guarantees
-from caperstack.soak.client import ask
+from caperstack.soak.client import LARGE_BODY, LARGE_PATH, ask
 from caperstack.soak.faults import (
     COLD_TOLERATED_PER_SECOND,
     FAULTS,
@@ -15,6 +15,7 @@
     PROCESS_FAULTS,
     RESTORE,
     STATEMENTS,
+    STOP_READING,
 )
 from caperstack.soak.state import Change, SoakState
 
@@ -24,6 +25,10 @@
 MAX_ATTEMPTS = 2
 WORK_SECONDS = 0.03
 
+#: Memory of each host in MiB.  A quarter of it is the limit on unread answers, and half of
+#: that the one that holds for stalled callers: eleven and five large answers.
+MEMORY_MB = 16
+
 #: Path, relative frequency of requests, and whether a request may run at most once.
 PATHS = (
     ("/listings/", 4, False),
@@ -44,6 +49,9 @@
 #: fault must hold again 2.5 s after its end; with a shorter gap they would never be checked.
 STORE_FAULT_GAP_SECONDS = (4.0, 6.0)
 
+#: The same after callers have stopped reading, so that some series of other faults have none.
+STOP_READING_GAP_SECONDS = (2.0, 4.0)
+
 #: Time within which the fleet must serve all requests again after the last fault, in
 #: seconds, and the number of requests that check it.
 RECOVERY_SECONDS = 15.0
@@ -84,10 +92,10 @@
 def _fault_streams(rng, server_faults=None):
     """Yield endless streams of fault names, each with the range of gaps between its faults.
 
-    Faults of processes, of the store and of servers each form a stream.  If `server_faults`
-    are given, that of the servers consists of these alone.
+    Faults of processes, of the store, of servers and of callers each form a stream.  If
+    `server_faults` are given, that of the servers consists of these alone.
     """
-    inserted = {RESTORE, *PROCESS_FAULTS, *STATEMENTS}
+    inserted = {RESTORE, *PROCESS_FAULTS, *STATEMENTS, STOP_READING}
     others = [name for name in FAULTS if name not in inserted]
     store = [name for name in others if name.startswith("store")]
     servers = [name for name in others if not name.startswith("store")]
@@ -103,6 +111,7 @@
     yield itertools.cycle(processes), FAULT_GAP_SECONDS
     yield itertools.cycle(store), STORE_FAULT_GAP_SECONDS
     yield itertools.cycle(server_faults or servers), FAULT_GAP_SECONDS
+    yield itertools.repeat(STOP_READING), STOP_READING_GAP_SECONDS
 
 
 async def _check_recovery(state):
@@ -137,9 +146,12 @@
     rng = random.Random(seed)
     fleet = PlatformFleet(list(SERVICES), _route_rows())
     fleet.cold_per_second = COLD_TOLERATED_PER_SECOND
+    for host in fleet.hosts:
+        host.boot["limits"] = {"memoryMb": MEMORY_MB}
     async with fleet:
         for host in fleet.hosts:
             host.instance.behaviour.seconds = WORK_SECONDS
+            host.instance.behaviour.bodies = {LARGE_PATH: LARGE_BODY}
         state = SoakState(fleet, rng, now())
         state.configurations.append(Change(0.0, "/moving/", "listings"))
         until = now() + seconds
--- a/caperstack/soak/state.py
+++ b/caperstack/soak/state.py
@@ -5,7 +5,14 @@
 
 from caperstack.clock import now
 
-__all__ = ["Change", "Evacuation", "FaultWindow", "RateLimitPeriod", "SoakState"]
+__all__ = [
+    "Change",
+    "Evacuation",
+    "FaultWindow",
+    "RateLimitPeriod",
+    "SlowReadersPeriod",
+    "SoakState",
+]
 
 
 @dataclass
@@ -70,6 +77,15 @@
     end: float = float("inf")
 
 
+@dataclass
+class SlowReadersPeriod:
+    """A time in which callers of a host's node do not read; infinite end while it lasts."""
+
+    host: str
+    begin: float
+    end: float = float("inf")
+
+
 @dataclass
 class SoakState:
     """A fleet on the stand-ins of the platform, and what happened to it.
@@ -100,6 +116,8 @@
         When all nodes were killed at once, which loses all state held in their memory.
     evacuations : list of Evacuation
         The zones that must get no new calls, and when.
+    slow_readers : list of SlowReadersPeriod
+        The hosts at which callers stopped reading their answers, and when.
     """
 
     fleet: object
@@ -116,6 +134,7 @@
     evacuations: list = field(default_factory=list)
     stated_departures: list = field(default_factory=list)
     rate_limits: list = field(default_factory=list)
+    slow_readers: list = field(default_factory=list)
 
     def print_progress(self, text):
         """Print `text` with the time since the start of the run."""
--- a/caperstack/soak/tests/test_checks.py
+++ b/caperstack/soak/tests/test_checks.py
@@ -9,13 +9,21 @@
 from caperstack.platform.standin.fleet import ServerCrash
 from caperstack.platform.standin.instance import Run
 from caperstack.soak.checks import (
+    BROKEN_OFF,
     CONNECTION_CLOSED,
     CONNECTION_REFUSED,
     RequestRecord,
     check_guarantees,
 )
 from caperstack.soak.main import main
-from caperstack.soak.state import Change, Evacuation, FaultWindow, RateLimitPeriod, SoakState
+from caperstack.soak.state import (
+    Change,
+    Evacuation,
+    FaultWindow,
+    RateLimitPeriod,
+    SlowReadersPeriod,
+    SoakState,
+)
 
 
 class TestCheckGuarantees(unittest.TestCase):
@@ -65,6 +73,32 @@
         self.state.windows.append(FaultWindow("h1", 9.0, 10.05))
         self.assertEqual(self.broken(code=CONNECTION_CLOSED), set())
 
+    def test_answer_that_breaks_off_counts_unless_the_caller_paused_for_long(self):
+        def broken(may_break_off):
+            request = RequestRecord(
+                "r", "/listings/large", "h1", 10.0, 12.0, BROKEN_OFF, True, False, may_break_off
+            )
+            return set(check_guarantees(self.state, [request], 2).broken)
+
+        self.assertEqual(broken(may_break_off=False), {"cut by planned work"})
+        self.assertEqual(broken(may_break_off=True), set())
+        self.state.windows.append(FaultWindow("h1", 11.0, 13.0))
+        self.assertEqual(broken(may_break_off=False), set())
+
+    def test_others_that_are_not_served_beside_slow_readers_are_found(self):
+        self.state.slow_readers.append(SlowReadersPeriod("h1", 9.0, 12.0))
+        self.ledger += [Run(f"r{n}", 10.0, "i1", "rates", "/rates/") for n in range(3)]
+        requests = [
+            RequestRecord(f"r{n}", "/rates/", "h1", 10.0, 11.0, 200 if n < 3 else 504, True, False)
+            for n in range(13)
+        ]
+        self.assertEqual(
+            set(check_guarantees(self.state, requests, 2).broken), {"others are served"}
+        )
+        self.assertEqual(check_guarantees(self.state, requests[:12], 2).broken, {})
+        self.state.windows.append(FaultWindow("h1", 9.5, 9.6))
+        self.assertEqual(check_guarantees(self.state, requests, 2).broken, {})
+
     def test_fatal_request_that_is_not_blocked_is_found(self):
         # Three servers have crashed; four sends follow more than three seconds later.
         # They are excused only if a fault has affected the process of the node.
