Callers that read during a pause of the node are not taken for stalled

What callers would see: after a pause of the node (a suspended process, a busy host), answers that they were reading all along break off, where unread answers hold more than half of `limits.bodies_bytes`.

Cause: the limit for stalled callers was also applied whenever a piece of some answer left the process, with the times of the last progress from before the pause. Ruled out: refreshing all callers each time, hundreds of system calls for each piece while over the limit.

--- a/caperstack/callers/port.py
+++ b/caperstack/callers/port.py
@@ -174,16 +174,14 @@
                 self.unread.observe(exchange, exchange.held_bytes, exchange.unread_bytes)
             for exchange in self.unread.overdue():
                 self._break_off(exchange, "no progress")
-            self._free_memory()
+            for exchange in self.unread.stalled_excess():
+                self._break_off(exchange, "memory")
 
     def observe_unread(self, exchange):
         """Record how much of a response is unread; disconnect others if that is too much."""
         self.unread.observe(exchange, exchange.held_bytes, exchange.unread_bytes)
-        self._free_memory()
-
-    def _free_memory(self):
-        for exchange in self.unread.excess():
-            self._break_off(exchange, "memory")
+        for other in self.unread.excess():
+            self._break_off(other, "memory")
 
     def _break_off(self, exchange, reason):
         held_bytes = self.unread.held_bytes
--- a/caperstack/callers/unread.py
+++ b/caperstack/callers/unread.py
@@ -111,27 +111,38 @@
 
     def overdue(self):
         """Yield the callers that have made no progress for ``unread_seconds``."""
-        for caller, _ in self._stalled_since(now() - self._limits.unread_seconds):
+        for caller, _ in tuple(self._stalled_since(now() - self._limits.unread_seconds)):
             yield caller
 
+    def stalled_excess(self):
+        """Yield the stalled callers to disconnect so that `held_bytes` is within their limit.
+
+        All callers must have been observed just before: after a pause of the node those that
+        have read in the meantime would be taken for stalled.
+        """
+        stalled = self._stalled_since(now() - STALLED_SECONDS)
+        yield from self._beyond(self._limits.bodies_bytes * STALLED_SHARE, stalled)
+
     def excess(self):
-        """Yield the callers to disconnect so that `held_bytes` is within the limits.
+        """Yield the callers to disconnect so that `held_bytes` is within ``bodies_bytes``."""
+        yield from self._beyond(self._limits.bodies_bytes, self._answers.items())
+
+    def _stalled_since(self, moment):
+        """Return the callers without progress since `moment`, with their answers."""
+        return takewhile(lambda pair: pair[1].progress_at <= moment, self._answers.items())
+
+    def _beyond(self, max_bytes, answers):
+        """Yield as many callers of `answers` as exceed `max_bytes`, the first ones first.
 
         The caller with the latest progress is never among them: a single answer that is
-        larger than the limits would otherwise never be delivered.
+        larger than the limit would otherwise never be delivered.
         """
         held = self.held_bytes
-        if held <= self._limits.bodies_bytes * STALLED_SHARE:
+        if held <= max_bytes:
             return
-        stalled = {caller for caller, _ in self._stalled_since(now() - STALLED_SECONDS)}
-        for caller, answer in tuple(self._answers.items())[:-1]:
-            share = STALLED_SHARE if caller in stalled else 1.0
-            if held <= self._limits.bodies_bytes * share:
+        latest = next(reversed(self._answers))
+        for caller, answer in tuple(answers):
+            if held <= max_bytes or caller == latest:
                 return
             held -= answer.held_bytes
             yield caller
-
-    def _stalled_since(self, moment):
-        """Return the callers without progress since `moment`, with their answers."""
-        pairs = tuple(self._answers.items())
-        return takewhile(lambda pair: pair[1].progress_at <= moment, pairs)
