The body of a request is released when its answer is ready, also if that is not read

What callers would see: a node that runs out of memory though its counts are within their limits, where callers upload and don't read the answer.

Cause: the count of request bodies was reduced when the answer was ready, but the parts of the body stayed with the exchange, which lives until the answer has been written. Ruled out: to count them on, which would hold room that uploads need for nothing.

Change: the parts are dropped when they are no longer counted.

--- a/caperstack/callers/exchange.py
+++ b/caperstack/callers/exchange.py
@@ -227,6 +227,7 @@
             self._port.unread.remove(self)
 
     def _done(self):
+        self._parts.clear()
         self._port.release(self._reserved)
         self._reserved = 0
         self._port.exchanges.discard(self)
--- a/caperstack/callers/tests/test_slow_readers.py
+++ b/caperstack/callers/tests/test_slow_readers.py
@@ -1,7 +1,9 @@
 """Tests of the callers' port with sockets on loopback: callers that read slowly or not at all."""
 
 import asyncio
+import gc
 import socket
+import tracemalloc
 import unittest
 
 from caperstack.addresses import split_address
@@ -69,7 +71,7 @@
         await self.port.start(self.kernel)
         self.addAsyncCleanup(self.port.stop)
 
-    async def connect(self, name, count=1):
+    async def connect(self, name, count=1, body=b""):
         """Connect a caller with a small buffer, and send `count` requests at once."""
         sock = socket.socket()
         self.addCleanup(sock.close)
@@ -77,8 +79,9 @@
         sock.setblocking(False)
         loop = asyncio.get_running_loop()
         await loop.sock_connect(sock, split_address(self.address))
-        head = f"GET /x HTTP/1.1\r\nHost: x\r\n{self.port.request_id_header}: {name}\r\n\r\n"
-        await loop.sock_sendall(sock, head.encode() * count)
+        head = f"POST /x HTTP/1.1\r\nHost: x\r\n{self.port.request_id_header}: {name}\r\n"
+        head += f"Content-Length: {len(body)}\r\n\r\n"
+        await loop.sock_sendall(sock, (head.encode() + body) * count)
         return sock
 
     async def read(self, sock, size=1 << 20, pause=0.0, until=None):
@@ -228,5 +231,25 @@
         self.assertEqual(reply.body, BODY)
 
 
+class TestRequestBodies(PortCase):
+    """Callers that upload a body and do not read the answer."""
+
+    limits = Limits(unread_seconds=600.0)
+
+    async def test_body_is_released_when_the_answer_is_ready(self):
+        # Guards against bodies that are held, but no longer counted, as long as the answer.
+        callers, size = 20, 200_000
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        before, _ = tracemalloc.get_traced_memory()
+        for number in range(callers):
+            await self.connect(f"stuck-{number}", body=bytes(size))
+        await self.until(lambda: self.held()[0] == callers)
+        gc.collect()
+        after, _ = tracemalloc.get_traced_memory()
+        # The first piece of an answer, the only one that is copied, has 64 kB.
+        self.assertLess(after - before, callers * size * 0.75)
+
+
 if __name__ == "__main__":
     unittest.main()
