Crashes count as the third only if the request ran in isolation

Cause, from the log lines of a reproduced run: three servers crashed within 122 ms, less than one run of the frequent request. Its runs at the third server had begun before that owner knew of the second crash (962 and 972 ms), so they ran beside the fatal one although both were to be isolated from then on. It was charged with all three, and as nothing more of it was sent, no completed run could clear it, for callers of one service: hence 20 of 60 refused.

Ruled out: the test is right. Requests that completed are excused as before (the servers here are new and had completed none). A shorter quarantine would only refuse fewer.

Change: a crash carries whether the request ran in isolation, which the owner knows: it was sent as a suspect and no other suspect of two crashes was running. Without such a crash, crashes count up to two, so the request stays isolated, and the next crash in isolation quarantines it. An entry that hears of a crash first waits for the owner's report. In messages of earlier nodes, which lack the field, crashes count as before. The price: where three servers crash at once, the fatal request is sent once more, in isolation.

Tests: verdicts, merging and the message; two of the owner, of which one fails when it does not say what ran in isolation and the other when it does not run suspects so (run); the merge test now covers the new field.

--- a/caperstack/admission/execution.py
+++ b/caperstack/admission/execution.py
@@ -52,8 +52,11 @@
         self._events = kernel.find("events")
         self._suspects = kernel.find("suspects")
 
-    async def run(self, call):
-        """Run `call`, which holds a slot, and return its `Outcome`."""
+    async def run(self, call, isolated=False):
+        """Run `call`, which holds a slot, and return its `Outcome`.
+
+        `isolated` tells whether it is a suspect that the owner runs in isolation.
+        """
         self._times.begin((call.origin, call.id), self._slowdown.value, call.route)
         call.notes.append((now(), "dispatched"))
         self._events.decision(
@@ -69,7 +72,7 @@
         is_sample = False
         result = BackendResult.UNANSWERED
         begun = now()
-        self._watch.begin(call)
+        self._watch.begin(call, isolated)
         self._runs.begin(call)
         try:
             answer = await self._client.fetch(call, self._status.instance)
--- a/caperstack/admission/owner.py
+++ b/caperstack/admission/owner.py
@@ -175,7 +175,7 @@
         self._suspect_running = True
         record.dispatched = True
         try:
-            return await self._execution.run(call)
+            return await self._execution.run(call, isolated=True)
         finally:
             self._suspect_running = False
 
--- a/caperstack/admission/tests/test_owner.py
+++ b/caperstack/admission/tests/test_owner.py
@@ -11,7 +11,7 @@
 from caperstack.calls.model import Answered, Call, NotRun, ServerState, Unknown
 from caperstack.clock import deadline_after, now
 from caperstack.exception import BackendError, PeerError
-from caperstack.quarantine.suspects import Suspects
+from caperstack.quarantine.suspects import Suspects, Verdict
 
 OK_ANSWER = Answered(200, "OK", [], b"")
 
@@ -608,6 +608,41 @@
         self.client.answer(3)
         self.assertEqual(await third, OK_ANSWER)
 
+    async def crash_with(self, *numbers):
+        """Let the server crash while these calls run, each for the request of its number."""
+        self.client.listening = False
+        for number in numbers:
+            self.client.answer(number, BackendError("connection closed", step="answer"))
+
+    async def test_calls_that_began_before_their_requests_were_suspects_are_not_isolated(self):
+        """Guards against a quarantine of a frequent request that ran beside a fatal one.
+
+        Both began here before two other servers crashed with both of them running.
+        """
+        tasks = [
+            asyncio.create_task(self.owner.run(self.call_of_request(n, request=n))) for n in (1, 2)
+        ]
+        await self.run_pending()
+        for number in range(2):
+            self.suspects.record_crash(number, [Fingerprint(1, 1), Fingerprint(2, 1)], isolated=())
+        await self.crash_with(1, 2)
+        await asyncio.gather(*tasks)
+        verdicts = [self.suspects.verdict(Fingerprint(n, 1)) for n in (1, 2)]
+        self.assertEqual(verdicts, [Verdict.ALONE] * 2)
+
+    async def test_crash_while_a_suspect_runs_in_isolation_quarantines_it(self):
+        """Guards against a fatal request that is isolated forever and crashes further servers."""
+        for number in range(2):
+            self.suspects.record_crash(number, [Fingerprint(1, 1), Fingerprint(2, 1)], isolated=())
+        tasks = [
+            asyncio.create_task(self.owner.run(self.call_of_request(n, request=n))) for n in (1, 3)
+        ]
+        await self.run_pending()
+        await self.crash_with(1, 3)
+        await asyncio.gather(*tasks)
+        verdicts = [self.suspects.verdict(Fingerprint(n, 1)) for n in (1, 2, 3)]
+        self.assertEqual(verdicts, [Verdict.QUARANTINED, Verdict.ALONE, Verdict.FREE])
+
     async def test_crash_is_charged_to_the_calls_that_were_running(self):
         self.client.listening = False
         tasks = [
--- a/caperstack/admission/tracker.py
+++ b/caperstack/admission/tracker.py
@@ -279,17 +279,17 @@
 
     def _on_crash(self, crash):
         self._metrics.count("backend_ends")
+        pending_calls = crash.pending_calls.values()
         self._suspects.record_crash(
-            crash.number, [pending.fingerprint for pending in crash.pending_calls.values()]
+            crash.number,
+            [pending.fingerprint for pending in pending_calls],
+            {pending.fingerprint.request for pending in pending_calls if pending.isolated},
         )
         self._events.log_state(
             "backend server ended",
             instance=crash.instance,
             end=f"{crash.number:016x}",
-            at_work={
-                pending.request_id: pending.fingerprint.text
-                for pending in crash.pending_calls.values()
-            },
+            at_work={pending.request_id: pending.fingerprint.text for pending in pending_calls},
         )
         self.set_state(self._status.set_ended(True))
 
--- a/caperstack/peers/messages.py
+++ b/caperstack/peers/messages.py
@@ -331,6 +331,7 @@
     number: _Hash
     caller: _Hash
     clearing: Annotated[int, msgspec.Meta(ge=0, le=2)]
+    isolated: bool = True
 
 
 class SuspicionReport(_MessageStruct):
--- a/caperstack/peers/translate.py
+++ b/caperstack/peers/translate.py
@@ -220,11 +220,14 @@
 
 def suspicion_message(suspicion):
     """Return the `SuspicionReport` of a `Suspicion`."""
-    ends = [SuspectedEnd(end.number, end.caller, int(end.clearing)) for end in suspicion.ends]
+    ends = [
+        SuspectedEnd(end.number, end.caller, int(end.clearing), end.isolated)
+        for end in suspicion.ends
+    ]
     return SuspicionReport(suspicion.request, ends)
 
 
 def suspicion_from(report):
     """Return the `Suspicion` of a `SuspicionReport`."""
-    ends = tuple(Crash(end.number, end.caller, end.clearing) for end in report.ends)
+    ends = tuple(Crash(end.number, end.caller, end.clearing, end.isolated) for end in report.ends)
     return Suspicion(report.request, ends)
--- a/caperstack/quarantine/crash.py
+++ b/caperstack/quarantine/crash.py
@@ -41,18 +41,22 @@
 
 @dataclass(frozen=True, slots=True)
 class PendingCall:
-    """The data kept about a running call, without its body, which may be large."""
+    """The data kept about a running call, without its body, which may be large.
+
+    `isolated` tells whether it runs as the only suspect of its server.
+    """
 
     origin: str
     number: int
     request_id: str
     fingerprint: Fingerprint
     deadline: float
+    isolated: bool
 
     @classmethod
-    def of(cls, call):
+    def of(cls, call, isolated):
         """Return the `PendingCall` for `call`."""
-        return cls(call.origin, call.id, call.request_id, call.fingerprint, call.deadline)
+        return cls(call.origin, call.id, call.request_id, call.fingerprint, call.deadline, isolated)
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,9 +113,9 @@
         """Call ``listener(crash)`` with each `ServerCrash`."""
         self._listeners.append(listener)
 
-    def begin(self, call):
-        """Record that `call` is sent to the backend server."""
-        self._running[call.origin, call.id] = PendingCall.of(call)
+    def begin(self, call, isolated=False):
+        """Record that `call` is sent to the backend server, in isolation if `isolated`."""
+        self._running[call.origin, call.id] = PendingCall.of(call, isolated)
 
     def finish(self, call, result):
         """Record that the owner no longer waits for `call`, and its `BackendResult`.
--- a/caperstack/quarantine/suspects.py
+++ b/caperstack/quarantine/suspects.py
@@ -1,7 +1,7 @@
 """Requests that were running when backend servers crashed, and how they may be sent."""
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import IntEnum
 
 from caperstack.calls.model import NotRun
@@ -12,7 +12,9 @@
 #: A request that was running at this many server crashes is isolated (sent to a server
 #: that runs one such request at a time) or quarantined (not sent at all).  An unrelated
 #: request may be running at one crash by chance, and at a second if it was retried at
-#: the same server as the cause.  With isolation only the cause reaches the third.
+#: the same server as the cause.  With isolation only the cause reaches the third.  Runs
+#: that began before the owner knew of the second crash are not isolated, so the request
+#: is quarantined only if it ran in isolation at one of the crashes.
 MIN_CRASHES_ALONE = 2
 MIN_CRASHES_QUARANTINED = 3
 
@@ -72,11 +74,15 @@
         Hash of the caller of the request that was running.
     clearing : Clearing
         How far a completed run has cleared the request of this crash.
+    isolated : bool
+        Whether the request was the only suspect of at least `MIN_CRASHES_ALONE` crashes
+        that was running, and was sent as such.
     """
 
     number: int
     caller: int
     clearing: int = Clearing.NONE
+    isolated: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,10 +130,11 @@
         the same request of others is still served.  Once it has crashed servers for
         two callers and nobody has got an answer, the crashes count for everybody.
         """
-        own = sum(c.caller == caller and c.clearing < Clearing.ALL for c in self.ends.values())
-        uncleared = [c for c in self.ends.values() if c.clearing == Clearing.NONE]
+        crashes = self.ends.values()
+        own = [c for c in crashes if c.caller == caller and c.clearing < Clearing.ALL]
+        uncleared = [c for c in crashes if c.clearing == Clearing.NONE]
         shared = len({c.caller for c in uncleared}) > 1
-        return max(own, len(uncleared) if shared else 0)
+        return max(_counted(own), _counted(uncleared) if shared else 0)
 
     @property
     def max_count(self):
@@ -147,8 +154,8 @@
     Each node decides on its own, from the crashes that owners report.  Reports on a
     request are merged as a union, so neither their order nor repetition matters.
     A completed run clears the request, wherever it ran.  A request that was running
-    at three crashes and never completed is therefore either their cause, or so rare
-    that refusing it affects nobody else.
+    at three crashes, in isolation at one of them, and never completed is therefore either
+    their cause, or so rare that refusing it affects nobody else.
     """
 
     def __init__(self):
@@ -201,13 +208,41 @@
 
     # -- updates ----------------------------------------------------------
 
-    def record_crash(self, number, fingerprints):
-        """Record the crash of a backend server while these requests were running."""
+    def record_crash(self, number, fingerprints, isolated=None):
+        """Record the crash of a backend server while these requests were running.
+
+        Parameters
+        ----------
+        number : int
+            Identifies the crash.
+        fingerprints : iterable of caperstack.calls.fingerprint.Fingerprint
+            The requests that were running, as far as known.
+        isolated : collection of int, optional
+            Hashes of the requests among them that were sent in isolation; all of them by
+            default.
+
+        Notes
+        -----
+        A request sent in isolation may still have run beside another suspect, whose run
+        began earlier.  Such a crash does not tell which of them caused it.
+        """
+        fingerprints = list(fingerprints)
+        requests = {f.request for f in fingerprints}
+        if isolated is None:
+            alone = requests
+        else:
+            restricted = {request for request in requests if self._is_restricted(request)}
+            alone = {request for request in isolated if restricted <= {request}}
         for fingerprint in fingerprints:
             clearing = self._clearing_by_completions(fingerprint)
             if clearing != Clearing.ALL:
-                crash = Crash(number, fingerprint.caller, clearing)
-                self.take(Suspicion(fingerprint.request, (crash,)))
+                request = fingerprint.request
+                crash = Crash(number, fingerprint.caller, clearing, request in alone)
+                self.take(Suspicion(request, (crash,)))
+
+    def _is_restricted(self, request):
+        record = self._records.get(request)
+        return record is not None and record.max_count >= MIN_CRASHES_ALONE
 
     def implicates(self, number, fingerprint):
         """Return whether crash `number` is recorded for a request."""
@@ -227,8 +262,7 @@
         record = self._records.get(fingerprint.request)
         if record is not None:
             crashes = (
-                Crash(c.number, c.caller, self._cleared(c, fingerprint))
-                for c in record.ends.values()
+                replace(c, clearing=self._cleared(c, fingerprint)) for c in record.ends.values()
             )
             self.take(Suspicion(fingerprint.request, tuple(crashes)))
 
@@ -266,16 +300,16 @@
             self._make_room()
             record = self._records[suspicion.request] = _Record()
         record.ends = ends
-        self._update_verdict(suspicion.request, record, not ends.keys() <= held.keys(), source)
+        self._update_verdict(suspicion.request, record, _has_new_evidence(held, ends), source)
         for listener in self._listeners:
             listener(suspicion.request, source)
         return True
 
-    def _update_verdict(self, request, record, has_new_crash, source):
+    def _update_verdict(self, request, record, has_new_evidence, source):
         record.expires_at = deadline_after(SUSPECT_TTL_SECONDS)
         self._records.move_to_end(request)
         count = record.max_count
-        if has_new_crash and count >= MIN_CRASHES_QUARANTINED:
+        if has_new_evidence and count >= MIN_CRASHES_QUARANTINED:
             seconds = QUARANTINE_SECONDS * 2 ** (count - MIN_CRASHES_QUARANTINED)
             record.quarantined_until = deadline_after(min(MAX_QUARANTINE_SECONDS, seconds))
         previous, record.logged_verdict = record.logged_verdict, _verdict_at(count)
@@ -332,11 +366,29 @@
     union = dict(held)
     for crash in ends:
         known = union.get(crash.number)
-        if known is None or known.clearing < crash.clearing:
+        if known is None:
             union[crash.number] = crash
+        else:
+            base = crash if known.clearing < crash.clearing else known
+            union[crash.number] = replace(base, isolated=known.isolated or crash.isolated)
     return {number: union[number] for number in sorted(union)[-MAX_CRASHES_PER_SUSPECT:]}
 
 
+def _has_new_evidence(held, ends):
+    """Return whether `ends` has a crash that `held` lacks, or knows as one in isolation."""
+    return any(
+        number not in held or (crash.isolated and not held[number].isolated)
+        for number, crash in ends.items()
+    )
+
+
+def _counted(crashes):
+    """Return how many of `crashes` count: without one in isolation, not enough to quarantine."""
+    if any(crash.isolated for crash in crashes):
+        return len(crashes)
+    return min(len(crashes), MIN_CRASHES_ALONE)
+
+
 def _verdict_at(count):
     if count >= MIN_CRASHES_QUARANTINED:
         return Verdict.QUARANTINED
--- a/caperstack/quarantine/tests/test_suspects.py
+++ b/caperstack/quarantine/tests/test_suspects.py
@@ -11,6 +11,9 @@
 from caperstack import clock
 from caperstack.calls.fingerprint import Fingerprint
 from caperstack.calls.model import Call
+from caperstack.peers.frames import FrameDecoder, encode_frame
+from caperstack.peers.messages import Suspicions
+from caperstack.peers.translate import suspicion_from, suspicion_message
 from caperstack.quarantine.suspects import (
     COMPLETION_VALID_SECONDS,
     MAX_COMPLETIONS,
@@ -29,7 +32,9 @@
 OTHER_CALLER = Fingerprint(1, 2)
 UNRELATED = Fingerprint(2, 1)
 
-CRASHES = st.builds(Crash, st.integers(1, 30), st.integers(1, 3), st.sampled_from(Clearing))
+CRASHES = st.builds(
+    Crash, st.integers(1, 30), st.integers(1, 3), st.sampled_from(Clearing), st.booleans()
+)
 
 
 class _VirtualClockTestCase(unittest.TestCase):
@@ -147,6 +152,54 @@
         self.assertEqual(self.suspects.verdict(Fingerprint()), Verdict.FREE)
 
 
+class TestIsolation(_VirtualClockTestCase):
+    """Crashes at which a request was running before its isolation began."""
+
+    BYSTANDER = Fingerprint(3, 1)
+
+    def test_request_that_ran_beside_the_fatal_one_at_three_crashes_is_not_quarantined(self):
+        """Guards against a quarantine of frequent requests, none of which could complete yet.
+
+        Three servers crash within the time of one run, all after the same two requests began.
+        """
+        for number in range(4):
+            self.suspects.record_crash(number, (FATAL, self.BYSTANDER), isolated=())
+        self.assertEqual(self.suspects.verdict(self.BYSTANDER), Verdict.ALONE)
+        self.assertEqual(self.suspects.verdict(FATAL), Verdict.ALONE)
+        self.suspects.record_crash(4, (FATAL, UNRELATED), isolated=(FATAL.request,))
+        self.assertEqual(self.suspects.verdict(FATAL), Verdict.QUARANTINED)
+        self.assertEqual(self.suspects.verdict(self.BYSTANDER), Verdict.ALONE)
+
+    def test_isolated_request_beside_an_earlier_run_of_another_suspect_is_not_quarantined(self):
+        """Guards against a quarantine of the one of two suspects that happens to be isolated."""
+        for number in range(2):
+            self.suspects.record_crash(number, (FATAL, self.BYSTANDER), isolated=())
+        isolated = (self.BYSTANDER.request,)
+        self.suspects.record_crash(2, (OTHER_CALLER, self.BYSTANDER), isolated=isolated)
+        self.assertEqual(self.suspects.verdict(self.BYSTANDER), Verdict.ALONE)
+
+    def test_crash_that_the_entry_reports_first_quarantines_once_the_owner_reports_it(self):
+        """Guards against a quarantine without an end time, so that the request is sent on."""
+        owner, entry = self.suspects, self.new_suspects()
+        for number in range(2):
+            owner.record_crash(number, (FATAL,), isolated=())
+            entry.record_crash(number, (FATAL,), isolated=())
+        owner.record_crash(2, (FATAL,), isolated=(FATAL.request,))
+        entry.record_crash(2, (FATAL,), isolated=())
+        self.assertEqual(entry.verdict(FATAL), Verdict.ALONE)
+        self.assertTrue(entry.take(owner.suspicion(FATAL.request), "owner"))
+        self.assertEqual(entry.verdict(FATAL), Verdict.QUARANTINED)
+        self.assertFalse(owner.take(entry.suspicion(FATAL.request), "entry"))
+
+    def test_completed_run_clears_a_crash_in_isolation(self):
+        """Guards against a quarantine that no completed run ends."""
+        for number in range(3):
+            self.suspects.record_crash(number, (FATAL,), isolated=(FATAL.request,))
+        self.assertEqual(self.suspects.verdict(FATAL), Verdict.QUARANTINED)
+        self.suspects.record_completion(FATAL)
+        self.assertEqual(self.suspects.verdict(FATAL), Verdict.FREE)
+
+
 class TestExchangeOfSuspicions(_VirtualClockTestCase):
     """Suspicions exchanged by nodes converge to the same state in any order."""
 
@@ -161,9 +214,16 @@
             rng.shuffle(order)
             for report in order:
                 suspects.take(Suspicion(1, tuple(report)))
-            views.append([(c.number, c.clearing) for c in suspects.suspicion(1).ends])
+            views.append([(c.number, c.clearing, c.isolated) for c in suspects.suspicion(1).ends])
         self.assertEqual(views, views[:1] * 3)
 
+    @given(st.lists(CRASHES, min_size=1, max_size=4))
+    def test_message_carries_all_evidence(self, crashes):
+        suspicion = Suspicion(1, tuple(crashes))
+        stream = encode_frame(Suspicions([suspicion_message(suspicion)]))
+        ((message, _),) = FrameDecoder().feed(stream)
+        self.assertEqual(suspicion_from(message.items[0]), suspicion)
+
     def test_two_nodes_that_dropped_different_crashes_stop_exchanging_them(self):
         one, two = self.new_suspects(), self.new_suspects()
         for number in range(2 * MAX_CRASHES_PER_SUSPECT):
--- a/caperstack/routing/dispatch.py
+++ b/caperstack/routing/dispatch.py
@@ -233,8 +233,8 @@
             return
         if isinstance(outcome, Unknown) and outcome.end:
             # The crash is recorded before this call is retried, since the suspicion that
-            # peers send arrives later.
-            self._suspects.record_crash(outcome.end, (call.fingerprint,))
+            # peers send arrives later.  Only the owner knows what else was running.
+            self._suspects.record_crash(outcome.end, (call.fingerprint,), isolated=())
         failed = isinstance(outcome, Unknown) or outcome.status >= 500
         if member.estimate.record_result(failed):
             self._events.state("ejection", "in use", "ejected", member.host)
