An answer without proof is no sign of a crash; a late answer that reopens a dead server is listed

Review of: an unmarked 429 or 503 to what may not run twice counted as no answer at all. The owner asked the server each time whether it still listened, a later crash could be charged to the call, and a status below 500 counted as a failure. Now the error carries the status, and the call has ended. The test fails on the code before (a crash was recorded).

KNOWN-RED: an answer that was sent before a crash and read after it reopens the server.

--- a/caperstack/admission/execution.py
+++ b/caperstack/admission/execution.py
@@ -88,6 +88,12 @@
                 self._suspects.record_completion(call.fingerprint)
             return answer
         except BackendError as error:
+            if error.status:
+                # The server is alive and has ended the call.
+                result = BackendResult.ANSWERED
+                self._status.note_answer()
+                self._breaker.add(error.status >= 500)
+                return self._failure(call, error, None)
             # A call that reaches its deadline counts as a sample.  Otherwise a server so slow
             # that no call ends in time would yield no samples, look fast and attract calls.
             is_sample = time_left(call.deadline) <= 0
--- a/caperstack/admission/tests/test_owner.py
+++ b/caperstack/admission/tests/test_owner.py
@@ -672,6 +672,16 @@
         self.owner.assign("i-2", "s")
         self.assertEqual(self.owner.state, ServerState.WARM)
 
+    async def test_answer_without_proof_is_no_sign_of_a_crash(self):
+        """Guards against a later crash that is charged to a call which has ended."""
+        self.owner.assign("i-1", "s")
+        task = asyncio.create_task(self.owner.run(self.call_of_request(1)))
+        await self.run_pending()
+        self.client.listening = False
+        self.client.answer(1, BackendError("no proof", step="answer", status=429))
+        self.assertEqual((await task).status, 502)
+        self.assertEqual(self.owner.state, ServerState.WARM)
+
     async def test_server_that_answers_again_under_its_name_gets_calls(self):
         self.owner.assign("i-1", "s")
         self.owner.note_instance("i-2")
--- a/caperstack/backend/client.py
+++ b/caperstack/backend/client.py
@@ -172,7 +172,7 @@
         refusal = self._refusal(answer)
         if refusal is None and at_most_once and self._promises_falsely(answer.status):
             reason = f"status {answer.status} without proof that it did not run"
-            raise BackendError(reason, step="answer", peer=self._address)
+            raise BackendError(reason, step="answer", peer=self._address, status=answer.status)
         return refusal or self._without_node_headers(answer)
 
     def _promises_falsely(self, status):
--- a/caperstack/exception.py
+++ b/caperstack/exception.py
@@ -63,14 +63,18 @@
 
     ``sent`` is false if no request was sent; ``unheard`` is true if the connection
     closed before the first byte of the answer; ``refused`` is true if the server
-    refused the connection because no process listens at its address.
+    refused the connection because no process listens at its address.  ``status`` is that
+    of an answer which cannot be passed on, 0 if there was none.
     """
 
-    def __init__(self, message, *, step="", peer="", sent=True, unheard=False, refused=False):
+    def __init__(
+        self, message, *, step="", peer="", sent=True, unheard=False, refused=False, status=0
+    ):
         super().__init__(message, step=step, peer=peer)
         self.sent = sent
         self.unheard = unheard
         self.refused = refused
+        self.status = status
 
 
 class PlatformError(CaperstackError):
--- a/caperstack/quarantine/tests/test_crash.py
+++ b/caperstack/quarantine/tests/test_crash.py
@@ -125,6 +125,32 @@
         await self.detector.lost(lost)
         self.assertEqual(self.crashed_calls(), [[2]])
 
+    async def test_answer_from_before_the_crash_is_no_sign_of_life(self):
+        """Guards against a second crash counted for calls that are sent to the dead server.
+
+        The server answers one of two calls and crashes; the answer is read after the crash is
+        known.
+        """
+        answered, fatal, later = call(1), call(2), call(3)
+        for one in (answered, fatal):
+            self.detector.begin(one)
+        await self.detector.lost(fatal)
+        self.detector.finish(answered, BackendResult.ANSWERED)
+        self.detector.begin(later)
+        self.assertIsNone(await self.detector.lost(later))
+        self.assertEqual(self.crashed_calls(), [[1, 2]])
+
+    async def test_answer_to_a_call_after_the_crash_is_a_sign_of_life(self):
+        # The server has started again under its name; its next crash counts.
+        first, answered, second = call(1), call(2), call(3)
+        self.detector.begin(first)
+        await self.detector.lost(first)
+        self.detector.begin(answered)
+        self.detector.finish(answered, BackendResult.ANSWERED)
+        self.detector.begin(second)
+        await self.detector.lost(second)
+        self.assertEqual(self.crashed_calls(), [[1], [3]])
+
     async def test_crash_is_counted_once(self):
         # Calls that are sent to the address after the crash are in flight when the
         # restart is listed, or are lost.  They must not make a second crash.
