--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -1,6 +1,7 @@
 """A small deployment on loopback: nodes as separate processes, stand-ins in this one."""
 
 import asyncio
+import atexit
 import json
 import os
 import signal
@@ -110,6 +111,10 @@
         return self.ip, self.ports["outbound"]
 
 
+def _end(_number, _frame):
+    raise SystemExit(2)
+
+
 def free_block(addresses, count):
     """Return the first of `count` ports that are free at all `addresses`.
 
@@ -175,6 +180,8 @@
         self._version = 0
         self._tasks = []
         self._command = self._run_command()
+        atexit.register(self.kill_nodes)
+        signal.signal(signal.SIGTERM, _end)
 
     def _run_command(self):
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text(encoding="utf-8"))
@@ -277,14 +284,19 @@
     async def __aexit__(self, *_):
         for task in self._tasks:
             task.cancel()
+        self.kill_nodes()
         for host in self.hosts:
-            if host.process is not None and host.process.poll() is None:
-                host.process.kill()
-                host.process.wait()
             await host.app.stop()
         self.store.stop()
         self._directory.cleanup()
 
+    def kill_nodes(self):
+        """End the nodes that still run, also if the case couldn't start or was stopped."""
+        for host in self.hosts:
+            if host.process is not None and host.process.poll() is None:
+                host.process.kill()
+                host.process.wait()
+
     def configure(self):
         """Write the next version of the configuration, as operators do."""
         self._version += 3
