Only the server's close ends an answer without a length

Cause: an answer without a length ends with its connection. tornado ends the body whenever the stream closes, also when this node closes it, and `BackendConnection` looked only for an error of the stream, which its own close has not. When the store lists a successor, the owner closes the connections to the former server, which had fallen silent in the middle of an answer.

Change: the stream records that the server has ended it, when a read from the socket finds the end. Without that an answer without a length is not whole, whoever closed the connection: restart, stop, a restart that the answer's own head tells of.

--- a/caperstack/backend/connection.py
+++ b/caperstack/backend/connection.py
@@ -32,13 +32,19 @@
 
 
 class _Stream(IOStream):
-    """An `IOStream` that counts bytes received from the socket but not consumed."""
+    """An `IOStream` that counts unconsumed bytes, and knows whether the server has ended it."""
 
     def __init__(self, *arguments, **options):
         self._received = 0
         self._consumed = 0
+        self._ended_by_server = False
         super().__init__(*arguments, **options)
 
+    @property
+    def ended_by_server(self):
+        """Whether the server has closed the connection, and all that it sent was received."""
+        return self._ended_by_server
+
     @property
     def surplus(self):
         """Number of received bytes that no read has consumed."""
@@ -48,6 +54,7 @@
         """Read from the socket, and count the bytes received."""
         count = super().read_from_fd(buf)
         self._received += count or 0
+        self._ended_by_server = self._ended_by_server or count == 0
         return count
 
     def read_until_regex(self, regex, max_bytes=None):
@@ -289,12 +296,15 @@
         # A response without a length ends when its connection closes, so a server
         # that crashes midway looks like one that finished unless the connection is
         # reset.  The dialect tells whether a clean close means that the response is
-        # complete.
+        # complete.  Only the server's close does: tornado also ends the body when this
+        # node closes the connection, for example after a restart of the server.
         self._reusable = False
         if not self._dialect.ends_with_connection:
             raise BackendError("answer without a length", step="answer", peer=self._peer)
         if self._stream.error is not None:
             raise BackendError("connection reset", step="answer", peer=self._peer)
+        if not self._stream.ended_by_server:
+            raise BackendError("connection closed by this node", step="answer", peer=self._peer)
 
     def close(self):
         """Close the connection, which tells the backend server that nobody awaits a response."""
