A node's own close of a connection says nothing about its backend server

What callers saw, or would see: after a restart of a server, calls that the node itself had cut counted as its failures, so that the new instance was refused calls or chosen less. Answers that were ready when the restart became known were thrown away with the connection.

Looked through: breaker (counted, after it had been reset for the new instance), limit on idle connections (could be shortened by a cut within 20 ms of the request), health check (a failed one), crash detection (asks the server before it blames anybody; unchanged), deadlines (a slow server is one that fails; unchanged), withdrawn calls (end as cancelled, counted nowhere), callers (each answer declares its length; a close is a reset), links between nodes (frames declare their sizes).

Change: `BackendError.closed_here`; breaker, idle limit and health check leave such failures out. After a restart a connection is closed once what has already arrived is read, for at most 50 ms.

--- a/caperstack/admission/execution.py
+++ b/caperstack/admission/execution.py
@@ -97,7 +97,8 @@
             # A call that reaches its deadline counts as a sample.  Otherwise a server so slow
             # that no call ends in time would yield no samples, look fast and attract calls.
             is_sample = time_left(call.deadline) <= 0
-            self._breaker.add(True)
+            if not error.closed_here:
+                self._breaker.add(True)
             result = BackendResult.UNANSWERED if error.sent else BackendResult.NOT_RUN
             crash = await self._watch.lost(call) if error.sent and not is_sample else None
             return self._failure(call, error, crash)
--- a/caperstack/admission/tests/test_owner.py
+++ b/caperstack/admission/tests/test_owner.py
@@ -263,6 +263,20 @@
         self.owner.assign("i1", "s", 2000)
         self.assertEqual(self.owner.load.failing, 0)
 
+    async def test_calls_cut_by_this_node_after_a_restart_do_not_count_as_failures(self):
+        """Guards against a restarted server that gets no calls, as those of before it were cut."""
+        self.owner.assign("i1", "s", 1000)
+        self.owner.resize(60)
+        tasks = [self.start_last_call(number) for number in range(30)]
+        await self.run_pending()
+        self.assertEqual(len(self.client.started), 30)
+        self.owner.assign("i1", "s", 2000)
+        cut = BackendError("connection closed by this node", step="answer", closed_here=True)
+        for number in range(30):
+            self.client.answer(number, cut)
+        self.assertEqual({type(outcome) for outcome in await asyncio.gather(*tasks)}, {Unknown})
+        self.assertEqual(self.owner.load.failing, 0)
+
     async def test_slots_limit_concurrency_and_critical_calls_start_first(self):
         tasks = [
             self.start_call(1),
--- a/caperstack/backend/client.py
+++ b/caperstack/backend/client.py
@@ -127,11 +127,11 @@
 
         Notes
         -----
-        Requests sent before the restart will get no response.  The limit on the reuse
-        of idle connections is reset.
+        Requests sent before the restart will get no response, unless it has already
+        arrived.  The limit on the reuse of idle connections is reset.
         """
         for connection in list(self._running):
-            connection.close()
+            connection.read_out()
         self._drop_idle()
         self._reuse = ReusePolicy()
 
@@ -235,7 +235,7 @@
         except TimeoutError:
             raise BackendError("deadline passed", step="backend", peer=self._address) from None
         except BackendError as error:
-            if idle_since and error.unheard and now() - begun < RESET_SECONDS:
+            if self._is_idle_loss(error, idle_since, begun):
                 self._reuse.record_loss(begun - idle_since)
             raise
         finally:
@@ -245,6 +245,12 @@
             else:
                 connection.close()
 
+    def _is_idle_loss(self, error, idle_since, begun):
+        """Return whether the server seems to have dropped the connection while it was idle."""
+        if not idle_since or not error.unheard or error.closed_here:
+            return False
+        return now() - begun < RESET_SECONDS
+
     def _take_idle(self, at_most_once):
         """Return the usable idle connection that was used last, or ``None``."""
         self._drop_unusable()
--- a/caperstack/backend/connection.py
+++ b/caperstack/backend/connection.py
@@ -16,6 +16,11 @@
 
 MAX_HEADER_BYTES = 64 * 1024
 
+#: Time for which a connection that is to be closed may still deliver what has already
+#: arrived, and interval between checks whether it has, in seconds.
+READ_OUT_SECONDS = 0.05
+READ_OUT_CHECK_SECONDS = 0.001
+
 #: Number of late responses to earlier requests after which an exchange fails and its
 #: connection is closed.
 MAX_STALE_ANSWERS = 4
@@ -173,6 +178,8 @@
         self._on_report = on_report
         self._stream = None
         self._reusable = True
+        self._closed_here = False
+        self._read_out_until = 0.0
         self._idle_until = 0.0
         self.idle_since = 0.0
         self.requests = 0
@@ -218,14 +225,17 @@
         """
         if not self._reusable or now() > self._idle_until or self._stream.closed():
             return False
-        if self._stream.surplus:
-            return False
+        return not self._stream.surplus and not self._has_unread()
+
+    def _has_unread(self):
+        """Return whether the socket holds bytes, or the end of the connection, not yet read."""
         try:
-            return not self._stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            self._stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
-            return True
-        except OSError:
             return False
+        except OSError:
+            pass
+        return True
 
     async def exchange(self, method, target, headers, body, request_id):
         """Send a request and return the complete response as `Answered`.
@@ -267,12 +277,7 @@
         if collector.too_large or self._declared_too_large(collector):
             raise BackendError("answer is too large", step="answer", peer=self._peer)
         if not collector.complete:
-            raise BackendError(
-                "connection closed",
-                step="answer",
-                peer=self._peer,
-                unheard=collector.start is None,
-            )
+            raise self._closed_error(unheard=collector.start is None)
         self._reusable = self._reusable and still_open and not self._stream.closed()
         return collector
 
@@ -304,13 +309,42 @@
         if self._stream.error is not None:
             raise BackendError("connection reset", step="answer", peer=self._peer)
         if not self._stream.ended_by_server:
-            raise BackendError("connection closed by this node", step="answer", peer=self._peer)
+            raise self._closed_error(unheard=False)
+
+    def _closed_error(self, unheard):
+        """Return the error of a connection that closed before the end of a response."""
+        closed_here = self._closed_here and not self._stream.ended_by_server
+        reason = "connection closed by this node" if closed_here else "connection closed"
+        return BackendError(
+            reason, step="answer", peer=self._peer, unheard=unheard, closed_here=closed_here
+        )
 
     def close(self):
         """Close the connection, which tells the backend server that nobody awaits a response."""
-        if self._stream is not None:
+        if self._stream is not None and not self._stream.closed():
+            self._closed_here = True
             self._stream.close()
 
+    def read_out(self):
+        """Close the connection as soon as what has already arrived is read.
+
+        Notes
+        -----
+        After a pause of the node, a response and the news that its server has restarted
+        may be ready to be read at the same time.
+        """
+        self._reusable = False
+        self._read_out_until = deadline_after(READ_OUT_SECONDS)
+        self._close_once_read()
+
+    def _close_once_read(self):
+        if self._stream.closed():
+            return
+        if self._has_unread() and now() < self._read_out_until:
+            asyncio.get_running_loop().call_later(READ_OUT_CHECK_SECONDS, self._close_once_read)
+        else:
+            self.close()
+
 
 def _idle_seconds(keep_alive):
     """Return for how many seconds an idle connection may be reused.
--- a/caperstack/backend/probe.py
+++ b/caperstack/backend/probe.py
@@ -142,6 +142,8 @@
             self._update_cold(health)
         except BackendError as error:
             self._metrics.count("measuring_failures", kind=error.step)
+            if error.closed_here:
+                return
             healthy = False
         self._failures = 0 if healthy else self._failures + 1
         self._update_health()
--- a/caperstack/backend/tests/test_probe.py
+++ b/caperstack/backend/tests/test_probe.py
@@ -7,6 +7,8 @@
 from caperstack.backend.client import ServerHealth
 from caperstack.backend.probe import HealthProbe
 from caperstack.calls.dialect import ServerReport
+from caperstack.calls.model import ServerState
+from caperstack.exception import BackendError
 from caperstack.play.virtual import run_virtual
 
 REPORT = ServerReport("i", 1, 0, 8, 1.0)
@@ -34,18 +36,34 @@
             self._on_report(REPORT)
 
 
+class FailingServer(FakeServer):
+    """Fail each probe; `closed_here` tells whether the node itself closed the connection."""
+
+    def __init__(self, closed_here):
+        super().__init__()
+        self._closed_here = closed_here
+
+    async def probe(self, _path, _deadline):
+        self.probes += 1
+        raise BackendError("closed", step="answer", closed_here=self._closed_here)
+
+
 class TestHealthProbe(unittest.TestCase):
     """Tests of `HealthProbe` in virtual time, at ten probes per second."""
 
-    def count_probes(self, work):
+    def setUp(self):
+        self.states = []
+
+    def count_probes(self, work, server=None, answering=True):
+        server = server or FakeServer()
+
         async def run():
-            server = FakeServer()
             owner = SimpleNamespace(
                 node_leaves=False,
-                answering=True,
+                answering=answering,
                 expect_slowdown=lambda refresh: None,
                 set_slowdown=lambda pace: None,
-                set_health=lambda state: None,
+                set_health=self.states.append,
                 note_instance=lambda instance: None,
                 record_report=lambda report: None,
                 set_cold_remaining=lambda seconds: None,
@@ -74,6 +92,15 @@
         self.assertLessEqual(probes, 12)
         self.assertGreaterEqual(probes, 9)
 
+    def test_probes_cut_by_this_node_are_no_sign_of_bad_health(self):
+        """Guards against a server that gets no calls since the node closed its connections."""
+        for closed_here in (True, False):
+            self.states.clear()
+            server = FailingServer(closed_here)
+            self.count_probes(lambda _: asyncio.sleep(2.0), server, answering=False)
+            self.assertGreater(server.probes, 3)
+            self.assertEqual(ServerState.DOWN in self.states, not closed_here)
+
     def test_probing_resumes_when_load_reports_stop(self):
         async def work(server):
             await server.answer_calls(5.0, 0.02)
--- a/caperstack/backend/tests/test_unframed.py
+++ b/caperstack/backend/tests/test_unframed.py
@@ -1,6 +1,7 @@
 """Tests of answers without a length, which end with their connection."""
 
 import asyncio
+import socket
 import unittest
 
 from caperstack.backend.client import BackendClient
@@ -53,6 +54,7 @@
 
     async def half_answered(self, work):
         """Return the task of `work`, whose answer has come by half."""
+        self.head_read.clear()
         task = asyncio.create_task(work)
         await self.head_read.wait()
         return task
@@ -99,6 +101,23 @@
         self.client.restart()
         await self.failure(task)
 
+    async def test_answer_that_has_arrived_is_delivered_after_a_restart(self):
+        """Guards against the loss of answers that are ready when a restart becomes known."""
+        task = await self.half_answered(self.client.fetch(make_call()))
+        self.writer.write(REST)
+        self.writer.get_extra_info("socket").shutdown(socket.SHUT_WR)
+        self.client.restart()
+        self.assertEqual((await task).body, HALF + REST)
+
+    async def test_cut_after_a_restart_is_told_from_a_loss(self):
+        """Guards against a node that takes its own close for a fault of its backend server."""
+        task = await self.half_answered(self.client.fetch(make_call()))
+        self.client.restart()
+        self.assertTrue((await self.failure(task)).closed_here)
+        task = await self.half_answered(self.client.fetch(make_call()))
+        reset(self.writer)
+        self.assertFalse((await self.failure(task)).closed_here)
+
     async def test_answer_ends_when_the_server_closes(self):
         task = await self.half_answered(self.client.fetch(make_call()))
         self.writer.write(REST)
--- a/caperstack/exception.py
+++ b/caperstack/exception.py
@@ -63,17 +63,29 @@
 
     ``sent`` is false if no request was sent; ``unheard`` is true if the connection
     closed before the first byte of the answer; ``refused`` is true if the server
-    refused the connection because no process listens at its address.  ``status`` is that
-    of an answer which cannot be passed on, 0 if there was none.
+    refused the connection because no process listens at its address; ``closed_here`` is
+    true if this node closed the connection, so that the failure is no sign of a fault of
+    the server.  ``status`` is that of an answer which cannot be passed on, 0 if there was
+    none.
     """
 
     def __init__(
-        self, message, *, step="", peer="", sent=True, unheard=False, refused=False, status=0
+        self,
+        message,
+        *,
+        step="",
+        peer="",
+        sent=True,
+        unheard=False,
+        refused=False,
+        closed_here=False,
+        status=0,
     ):
         super().__init__(message, step=step, peer=peer)
         self.sent = sent
         self.unheard = unheard
         self.refused = refused
+        self.closed_here = closed_here
         self.status = status
 
 
