A body whose link breaks while it is sent is a lost call, no internal error

What callers saw: 500 "internal error" for an upload of over 64 kB if the node of its owner was killed, or reset the connection, while the body was on its way. A call that may repeat was not sent elsewhere, and the owner was not asked for the outcome of one that may not.

Cause: `asyncio`'s writer raises the socket's own error from `drain`. The link knows a lost call by `PeerError` only, so the error went up to the port for callers.

Ruled out: the node's own close. The two other senders of bodies catch both errors.

Change: `PeerConnection.send_in_chunks` tells each socket error as a `PeerError` that says that the message was sent.

--- a/caperstack/peers/connection.py
+++ b/caperstack/peers/connection.py
@@ -185,10 +185,20 @@
         self._writer.write(data)
 
     async def send_in_chunks(self, message, body):
-        """Send a message with a body of any length, split into chunks."""
+        """Send a message with a body of any length, split into chunks.
+
+        Raises
+        ------
+        PeerError
+            If the connection closes, also by this node; its ``sent`` attribute is false only if
+            nothing was sent.
+        """
         self.send(message, body[:CHUNK_BYTES])
         for start in range(CHUNK_BYTES, len(body), CHUNK_BYTES):
-            await self._writer.drain()
+            try:
+                await self._writer.drain()
+            except OSError as error:
+                raise PeerError(str(error), step="send", peer=self.address) from None
             self._send_chunk(message.id, body[start : start + CHUNK_BYTES])
 
     def _send_chunk(self, number, part):
