The stream and the collector of a backend connection in modules of their own

Cause: `backend/connection.py` had three subjects and was to get more code for answers without end. Only moved and renamed (`_Stream` to `BackendStream`, `_Collector` to `ResponseCollector`), no behaviour is changed. Tests of `caperstack.backend`: 34 passed.

--- a/caperstack/backend/connection.py
+++ b/caperstack/backend/connection.py
@@ -4,11 +4,11 @@
 import socket
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
-from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.httputil import HTTPHeaders, RequestStartLine
+from tornado.iostream import StreamClosedError
 
-from caperstack.calls.dialect import ServerReport
-from caperstack.calls.model import Answered
+from caperstack.backend.collector import ResponseCollector
+from caperstack.backend.stream import BackendStream
 from caperstack.clock import deadline_after, now
 from caperstack.exception import BackendError
 
@@ -31,124 +31,9 @@
 IDLE_SECONDS = 5.0
 IDLE_MARGIN_SECONDS = 1.0
 
-SUCCESS_STATUSES = range(200, 300)
-
 METHODS_WITH_BODY = frozenset(("POST", "PUT", "PATCH"))
 
 
-class _Stream(IOStream):
-    """An `IOStream` that counts unconsumed bytes, and knows whether the server has ended it."""
-
-    def __init__(self, *arguments, **options):
-        self._received = 0
-        self._consumed = 0
-        self._ended_by_server = False
-        super().__init__(*arguments, **options)
-
-    @property
-    def ended_by_server(self):
-        """Whether the server has closed the connection, and all that it sent was received."""
-        return self._ended_by_server
-
-    @property
-    def surplus(self):
-        """Number of received bytes that no read has consumed."""
-        return self._received - self._consumed
-
-    def read_from_fd(self, buf):
-        """Read from the socket, and count the bytes received."""
-        count = super().read_from_fd(buf)
-        self._received += count or 0
-        self._ended_by_server = self._ended_by_server or count == 0
-        return count
-
-    def read_until_regex(self, regex, max_bytes=None):
-        """Read up to a match, and count the bytes consumed."""
-        return self._counted(super().read_until_regex(regex, max_bytes))
-
-    def read_until(self, delimiter, max_bytes=None):
-        """Read up to a delimiter, and count the bytes consumed."""
-        return self._counted(super().read_until(delimiter, max_bytes))
-
-    def read_bytes(self, num_bytes, partial=False):
-        """Read `num_bytes` bytes, and count the bytes consumed."""
-        return self._counted(super().read_bytes(num_bytes, partial))
-
-    def read_until_close(self):
-        """Read until the connection closes, and count the bytes consumed."""
-        return self._counted(super().read_until_close())
-
-    def _counted(self, future):
-        future.add_done_callback(self._count)
-        return future
-
-    def _count(self, future):
-        if not future.cancelled() and future.exception() is None:
-            self._consumed += len(future.result())
-
-
-class _Collector(HTTPMessageDelegate):
-    """Collect one response, or detect that it belongs to an earlier request."""
-
-    def __init__(self, request_id, dialect, max_answer_bytes, head_only, on_report):
-        self._request_id = request_id
-        self._dialect = dialect
-        self._max_answer_bytes = max_answer_bytes
-        self._head_only = head_only
-        self._on_report = on_report
-        self._parts = []
-        self._size = 0
-        self.start = None
-        self.headers = None
-        self.stale = False
-        self.too_large = False
-        self.framed = False
-        self.complete = False
-
-    def headers_received(self, start_line, headers):
-        """Store the head, and pass on the server's report without waiting for the body.
-
-        Notes
-        -----
-        A late response to an earlier request shows the load and the statements of an
-        earlier time; without a rate limit it would withdraw the present one.
-        """
-        self.start = start_line
-        self.headers = headers
-        echoed = headers.get(self._dialect.request_id)
-        self.stale = echoed is not None and echoed != self._request_id
-        self.framed = "Content-Length" in headers or "Transfer-Encoding" in headers
-        if not self.stale:
-            probed = not self._request_id
-            successful = start_line.code in SUCCESS_STATUSES
-            self._on_report(ServerReport.read(headers, self._dialect, probed, successful))
-
-    def data_received(self, chunk):
-        """Collect a part of the body, up to the size limit."""
-        self._size += len(chunk)
-        if self._size > self._max_answer_bytes:
-            self.too_large = True
-        else:
-            self._parts.append(chunk)
-
-    def finish(self):
-        """Mark the response as complete according to its framing."""
-        self.complete = True
-
-    def on_connection_close(self):
-        """Do nothing; an incomplete response is detected by `complete`."""
-
-    @property
-    def has_body(self):
-        """Whether a response to this request with this status has a body."""
-        return not self._head_only and self.start.code not in (204, 304)
-
-    def answer(self):
-        """Return the response as an `Answered` outcome."""
-        headers = list(self.headers.get_all())
-        return Answered(self.start.code, self.start.reason, headers, b"".join(self._parts))
-
-
 class BackendConnection:
     """A connection that carries one request at a time.
 
@@ -194,7 +79,7 @@
         """
         sock = socket.socket()
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._stream = _Stream(sock)
+        self._stream = BackendStream(sock)
         try:
             async with asyncio.timeout_at(deadline):
                 await self._stream.connect(self._address)
@@ -267,7 +152,7 @@
         return HTTP1Connection(self._stream, True, parameters)
 
     async def _collect(self, http, method, request_id):
-        collector = _Collector(
+        collector = ResponseCollector(
             request_id, self._dialect, self._max_answer_bytes, method == "HEAD", self._on_report
         )
         try:
