Digits that are no number end no health checks and give no internal error

What callers saw: 500 "internal error" for a request with such a header of its own, and 502 for one whose answer had it. Worse, what nobody would see: the first health check whose answer declares such a length, or names such an idle time, ended the task that checks the server's health, for good.

Cause: `str.isdigit` holds for superscripts, and `int` raises for these and for more than 4,300 digits. Where tornado asks the collector it turns the error into a lost answer; in the connection's own code it went up as a `ValueError`, which neither the owner nor the health check expects. Found by reading for bytes that are no answer.

Change: `calls.dialect.is_whole_number` (ASCII digits, 18 at most) wherever a header is read as a number. A load report that is no number is passed over, as one with letters was.

--- a/caperstack/backend/connection.py
+++ b/caperstack/backend/connection.py
@@ -9,6 +9,7 @@
 
 from caperstack.backend.collector import ResponseCollector
 from caperstack.backend.stream import BackendStream
+from caperstack.calls.dialect import is_whole_number
 from caperstack.clock import deadline_after, now
 from caperstack.exception import BackendError
 
@@ -170,7 +171,7 @@
         if collector.headers is None or not collector.has_body:
             return False
         declared = collector.headers.get("Content-Length", "")
-        return declared.isdigit() and int(declared) > self._max_answer_bytes
+        return is_whole_number(declared) and int(declared) > self._max_answer_bytes
 
     def _accept(self, collector):
         if collector.has_body and not collector.framed:
@@ -241,7 +242,7 @@
     """
     for part in keep_alive.split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
+        if name.lower() == "timeout" and is_whole_number(value):
             return max(0.0, int(value) - IDLE_MARGIN_SECONDS)
     return IDLE_SECONDS
 
--- a/caperstack/backend/tests/test_client.py
+++ b/caperstack/backend/tests/test_client.py
@@ -1,6 +1,7 @@
 """Tests of `BackendClient` against servers that misbehave on keep-alive connections."""
 
 import asyncio
+import contextlib
 import socket
 import unittest
 
@@ -100,6 +101,34 @@
         await client.stop()
 
 
+class TestOddNumbers(unittest.IsolatedAsyncioTestCase):
+    """Digits in headers that are no ASCII digits, or too many of them."""
+
+    HEADS = (
+        "Content-Length: {}\r\n",
+        "Load: {},0,8\r\nContent-Length: 2\r\n",
+        "Keep-Alive: timeout={}\r\nContent-Length: 2\r\n",
+    )
+
+    async def test_no_request_or_health_check_fails_with_another_error(self):
+        """Guards against health checks that stop for good after bytes that are no number."""
+        dialect = Dialect(load="Load", ends_with_connection=True)
+        for head in self.HEADS:
+            for number in ("\xb2", "9" * 5000):
+                reply = f"HTTP/1.1 200 OK\r\n{head.format(number)}\r\nok".encode("latin-1")
+                server = ScriptedServer(reply, reply)
+                await server.start()
+                client = BackendClient(server.address, 10, 1024, dialect)
+                self.addAsyncCleanup(client.stop)
+                for work in (
+                    client.probe("/", deadline_after(5.0)),
+                    client.fetch(make_call()),
+                ):
+                    case = self.subTest(head=head, number=number[:9])
+                    with case, contextlib.suppress(BackendError):
+                        await work
+
+
 class TestUnprovenRefusals(unittest.IsolatedAsyncioTestCase):
     """Statuses that callers take for a promise that the request has not run."""
 
--- a/caperstack/callers/exchange.py
+++ b/caperstack/callers/exchange.py
@@ -9,6 +9,7 @@
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
+from caperstack.calls.dialect import is_whole_number
 from caperstack.calls.model import NotRun, Unknown
 from caperstack.calls.responses import response_to
 from caperstack.clock import deadline_after, now
@@ -84,7 +85,7 @@
         self._headers = headers
         self._connection.set_max_body_size(DISCARD_BYTES)
         declared = headers.get("Content-Length", "")
-        if declared.isdigit() and int(declared) > self._port.limits.body_bytes:
+        if is_whole_number(declared) and int(declared) > self._port.limits.body_bytes:
             self._refuse_size()
 
     def data_received(self, chunk):
--- a/caperstack/callers/port.py
+++ b/caperstack/callers/port.py
@@ -12,7 +12,7 @@
 from caperstack.callers.exchange import DISCARD_BYTES, Exchange
 from caperstack.callers.unread import UnreadAnswers
 from caperstack.callers.waiting import WaitEstimator
-from caperstack.calls.dialect import Dialect
+from caperstack.calls.dialect import Dialect, is_whole_number
 from caperstack.calls.fingerprint import fingerprint_of
 from caperstack.calls.headers import (
     DEPTH,
@@ -362,7 +362,7 @@
         given = headers.get(name)
         if given is None:
             return None
-        if not given.isdigit():
+        if not is_whole_number(given):
             raise _BadRequestError(name, "not a whole number of milliseconds")
         return min(int(given) / 1000, MAX_DEADLINE_SECONDS)
 
@@ -394,7 +394,7 @@
 
 def _depth(headers):
     given = headers.get(DEPTH, "0")
-    if not given.isdigit() or int(given) > MAX_DEPTH:
+    if not is_whole_number(given) or int(given) > MAX_DEPTH:
         raise _BadRequestError(DEPTH, f"not a whole number up to {MAX_DEPTH}")
     return int(given)
 
--- a/caperstack/callers/tests/test_port.py
+++ b/caperstack/callers/tests/test_port.py
@@ -5,6 +5,7 @@
 
 from caperstack.addresses import split_address
 from caperstack.bench.scenario import call, small_fleet
+from caperstack.calls.headers import DEPTH, TIME_LEFT
 from caperstack.load.ledger import merged_ledger
 from caperstack.standin.backend import LEDGER_ID
 
@@ -17,9 +18,9 @@
 
 
 async def send_raw(address, text):
-    """Send `text` and return the open connection."""
+    """Send `text`, a string or bytes, and return the open connection."""
     reader, writer = await asyncio.open_connection(*split_address(address))
-    writer.write(text.encode())
+    writer.write(text.encode() if isinstance(text, str) else text)
     await writer.drain()
     return reader, writer
 
@@ -87,3 +88,13 @@
         )
         self.assertIn(b" 400 ", await reader.readline())
         writer.close()
+
+    async def test_digits_that_are_no_number_are_refused(self):
+        """Guards against "internal error" for a header that is no number."""
+        fleet = await self.enterAsyncContext(small_fleet(1))
+        for header in (TIME_LEFT, DEPTH):
+            for number in ("\xb2", "9" * 5000):
+                text = f"GET /listings HTTP/1.1\r\nHost: x\r\n{header}: {number}\r\n\r\n"
+                reader, writer = await send_raw(fleet.caller_address("n0"), text.encode("latin-1"))
+                self.assertIn(b" 400 ", await reader.readline())
+                writer.close()
--- a/caperstack/calls/dialect.py
+++ b/caperstack/calls/dialect.py
@@ -5,7 +5,7 @@
 
 from caperstack.calls.headers import REQUEST_ID, TIME_LEFT
 
-__all__ = ["Dialect", "ServerReport", "UnreadableHeader", "cold_seconds"]
+__all__ = ["Dialect", "ServerReport", "UnreadableHeader", "cold_seconds", "is_whole_number"]
 
 #: Longest time for which one response can declare its server cold, in seconds.
 MAX_COLD_SECONDS = 3600.0
@@ -14,6 +14,9 @@
 #: leading zeros exceeds `MAX_COLD_SECONDS` in any case.
 MAX_COLD_DIGITS = 9
 
+#: Maximum number of digits of a whole number in a header.
+MAX_DIGITS = 18
+
 #: The permitted rates in the rate limit header: a plain decimal number without a sign.
 RATE_PATTERN = re.compile(r"[0-9]{1,15}(\.[0-9]{0,15})?|\.[0-9]{1,15}")
 
@@ -79,6 +82,16 @@
     fractional_seconds: bool = False
 
 
+def is_whole_number(text):
+    """Return whether `text` has only ASCII digits, and few enough for a number to make sense.
+
+    Notes
+    -----
+    `str.isdigit` also accepts characters such as superscripts, for which `int` raises.
+    """
+    return text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+
+
 def cold_seconds(headers, dialect):
     """Return for how many seconds the server that sent `headers` stays cold.
 
@@ -178,7 +191,7 @@
 
     def _read_load(self, text):
         figures = [figure.strip() for figure in text.split(",")]
-        if len(figures) < 3 or not all(figure.isdigit() for figure in figures):
+        if len(figures) < 3 or not all(map(is_whole_number, figures)):
             return
         self.running, self.waiting, self.slots = (int(figure) for figure in figures[:3])
         percent = int(figures[3]) if len(figures) > 3 else 100
