Answers without end are bounded in time, connections, memory and turns on the event loop

What callers saw, and operators: a server that sends bytes without end, in a head or a body, until its caller closes. Each answer was cut at 16 MiB, so 24 of them at once took a process up by 377 MB (trial, a process of its own), more than a host of 300 MB has. A health check read as much as a request. Bytes after a whole answer stayed on an idle connection until a later request found it unusable. While 32 bodies were read, the node took itself for paused and refused calls for other services ("node was paused", 503), in 2 of 2 runs of the test with real nodes on a busy machine.

Cause: the limit is each answer's own; nothing counts them together, and each connection reads 256 kB before others have a turn. The parts of a body were kept one by one, tens of bytes of overhead for a part of one byte.

Ruled out: to stop reading when the memory is full (what holds it never ends, so sound answers would wait for the deadlines of others); to refuse the newest (it is the small one). To let tornado's body callback wait: tornado turns a cancellation there into a lost answer (seen in a trial), so the stream waits for its turn instead.

Change: - `backend.intake.AnswerIntake`: all answers that are being received share `limits.answers_bytes` (on the platform an eighth of the host's memory); beyond it the largest gives way. Beyond 64 kB answers read in turn, one part in each iteration of the event loop. - The body of a health check is at most 64 kB, of the product's own endpoints as well. - An answer of another request that has no length ends the exchange at once, as the awaited one can't follow. A connection with surplus bytes is closed with the answer. - Reasons that tell these apart ("answer is too large", "answers of the server take too much memory", "bytes are no answer"), a line `owner gets no answer` with what came of it, gauge `received_answer_bytes`.

--- a/caperstack/admission/execution.py
+++ b/caperstack/admission/execution.py
@@ -112,6 +112,15 @@
     def _failure(self, call, error, crash):
         """Return the outcome of a call that got no answer and may have been lost in `crash`."""
         self._metrics.backend_failed(error.message)
+        self._events.decision(
+            "owner gets no answer",
+            call,
+            reason=error.message,
+            during=error.step,
+            status=error.status,
+            received_bytes=error.received,
+            closed_here=error.closed_here,
+        )
         if not error.sent:
             return NotRun(f"backend server unreachable: {error.message}", 0.2)
         late = time_left(call.deadline) <= 0.002
--- a/caperstack/backend/client.py
+++ b/caperstack/backend/client.py
@@ -3,8 +3,11 @@
 import asyncio
 from dataclasses import dataclass
 
+from tornado.httputil import RequestStartLine
+
 from caperstack.addresses import split_address
 from caperstack.backend.connection import BackendConnection
+from caperstack.backend.intake import AnswerIntake
 from caperstack.backend.reuse import ReusePolicy
 from caperstack.calls.dialect import MAX_UNREADABLE_CHARACTERS, Dialect, cold_seconds
 from caperstack.calls.headers import end_to_end
@@ -27,6 +30,9 @@
 #: the server is full, and waiting does not make a retry more likely to succeed.
 REFUSED_SECONDS = 0.0
 
+#: Maximum size of the body of a response to a health check, in bytes.
+MAX_HEALTH_BYTES = 64 * 1024
+
 MISDIRECTED = 421
 HEALTHY = 200
 
@@ -68,6 +74,9 @@
         Header names and conventions of the backend server.
     on_report : callable, optional
         Called with each `caperstack.calls.dialect.ServerReport`.
+    max_held_bytes : int, optional
+        Maximum total size of the response bodies that are being received, in bytes; limited
+        only by `connections` and `max_answer_bytes` if not given.
 
     Attributes
     ----------
@@ -80,7 +89,15 @@
     since it holds the retry budget.
     """
 
-    def __init__(self, address, connections, max_answer_bytes, dialect=None, on_report=None):
+    def __init__(
+        self,
+        address,
+        connections,
+        max_answer_bytes,
+        dialect=None,
+        on_report=None,
+        max_held_bytes=None,
+    ):
         self._address = address
         self._max_answer_bytes = max_answer_bytes
         self._dialect = dialect or Dialect()
@@ -88,6 +105,7 @@
             name.lower() for name in (self._dialect.request_id, self._dialect.load)
         )
         self._on_report = on_report or _ignore
+        self._intake = AnswerIntake(max_held_bytes or connections * max_answer_bytes)
         self._reuse = ReusePolicy()
         self._permits = asyncio.Semaphore(connections)
         self._idle = []
@@ -114,7 +132,12 @@
         self._drop_idle()
 
     async def start(self, kernel):
-        """Do nothing; connections are opened on demand."""
+        """Register the gauge; connections are opened on demand."""
+        kernel.find("metrics").gauge(
+            "received_answer_bytes",
+            "bytes of answers that are being received from the backend server",
+            lambda: self._intake.held_bytes,
+        )
 
     async def stop(self):
         """Close all connections."""
@@ -194,11 +217,10 @@
             If there was no complete response.
         """
         connection = self._take_idle(False) or await self._open(deadline)
+        request = RequestStartLine("GET", path, "HTTP/1.1")
         host = [("Host", self._address)]
-        answer = await self._within_deadline(
-            connection, connection.exchange("GET", path, host, b"", ""), deadline
-        )
-        return self._health(answer)
+        sending = connection.exchange(request, host, b"", "", MAX_HEALTH_BYTES)
+        return self._health(await self._within_deadline(connection, sending, deadline))
 
     def _health(self, answer):
         try:
@@ -219,7 +241,10 @@
         return True
 
     async def _perform(self, connection, call, headers):
-        sending = connection.exchange(call.method, call.target, headers, call.body, call.request_id)
+        request = RequestStartLine(call.method, call.target, "HTTP/1.1")
+        sending = connection.exchange(
+            request, headers, call.body, call.request_id, self._max_answer_bytes
+        )
         return await self._within_deadline(connection, sending, call.deadline)
 
     async def _within_deadline(self, connection, sending, deadline):
@@ -240,7 +265,7 @@
             raise
         finally:
             self._running.discard(connection)
-            if complete:
+            if complete and connection.reusable:
                 self._idle.append(connection)
             else:
                 connection.close()
@@ -269,7 +294,7 @@
 
     async def _open(self, deadline):
         connection = BackendConnection(
-            split_address(self._address), self._dialect, self._max_answer_bytes, self._on_report
+            split_address(self._address), self._dialect, self._intake, self._on_report
         )
         self.opened += 1
         await connection.open(min(deadline, deadline_after(CONNECT_SECONDS)))
--- a/caperstack/backend/collector.py
+++ b/caperstack/backend/collector.py
@@ -1,32 +1,90 @@
 """Collection of one response of a backend server."""
 
+from dataclasses import dataclass
+
 from tornado.httputil import HTTPMessageDelegate
 
-from caperstack.calls.dialect import ServerReport
+from caperstack.calls.dialect import ServerReport, is_whole_number
 from caperstack.calls.model import Answered
 
-__all__ = ["ResponseCollector"]
+__all__ = ["ExpectedResponse", "ResponseCollector"]
 
 SUCCESS_STATUSES = range(200, 300)
 
+#: Statuses of interim responses, which precede the response proper.
+INTERIM_STATUSES = range(100, 200)
+
+#: Statuses of responses that have no body.
+BODYLESS_STATUSES = frozenset((204, 304))
+
+
+@dataclass(frozen=True, slots=True)
+class ExpectedResponse:
+    """What is known of a response before it arrives.
+
+    Attributes
+    ----------
+    request_id : str
+        Id of the request; empty if it has none, as that of a health check.
+    head_only : bool
+        Whether the response has no body because the method of the request is ``HEAD``.
+    max_bytes : int
+        Maximum size of the body, in bytes.
+    """
+
+    request_id: str
+    head_only: bool
+    max_bytes: int
+
 
 class ResponseCollector(HTTPMessageDelegate):
-    """Collect one response, or detect that it belongs to an earlier request."""
+    """Collect one response, or detect that it cannot be the awaited one.
+
+    Parameters
+    ----------
+    expected : ExpectedResponse
+        What is known of the response.
+    dialect : caperstack.calls.dialect.Dialect
+        Header names and conventions of the backend server.
+    intake : caperstack.backend.intake.AnswerIntake
+        The answers that are being received.
+    on_report : callable
+        Called with the `ServerReport` of the response.
+    close : callable
+        Closes the connection.
+
+    Attributes
+    ----------
+    start : tornado.httputil.ResponseStartLine
+        The status line; ``None`` before the first head, which may be an interim one.
+    headers : tornado.httputil.HTTPHeaders
+        The headers.
+    stale : bool
+        Whether the response belongs to another request.
+    framed : bool
+        Whether the head tells where the response ends.
+    complete : bool
+        Whether the response is complete according to its framing.
+    failure : str
+        Reason for which the response was aborted; empty if it was not.
+    size : int
+        Bytes of the body that have arrived.
+    """
 
-    def __init__(self, request_id, dialect, max_answer_bytes, head_only, on_report):
-        self._request_id = request_id
+    def __init__(self, expected, dialect, intake, on_report, close):
+        self._expected = expected
         self._dialect = dialect
-        self._max_answer_bytes = max_answer_bytes
-        self._head_only = head_only
+        self._intake = intake
         self._on_report = on_report
-        self._parts = []
-        self._size = 0
+        self._close = close
+        self._body = bytearray()
         self.start = None
         self.headers = None
         self.stale = False
-        self.too_large = False
         self.framed = False
         self.complete = False
+        self.failure = ""
+        self.size = 0
 
     def headers_received(self, start_line, headers):
         """Store the head, and pass on the server's report without waiting for the body.
@@ -37,22 +95,37 @@
         earlier time; without a rate limit it would withdraw the present one.
         """
         self.start = start_line
+        if start_line.code in INTERIM_STATUSES:
+            return
         self.headers = headers
+        request_id = self._expected.request_id
         echoed = headers.get(self._dialect.request_id)
-        self.stale = echoed is not None and echoed != self._request_id
+        self.stale = echoed is not None and echoed != request_id
         self.framed = "Content-Length" in headers or "Transfer-Encoding" in headers
-        if not self.stale:
-            probed = not self._request_id
-            successful = start_line.code in SUCCESS_STATUSES
-            self._on_report(ServerReport.read(headers, self._dialect, probed, successful))
+        if self.has_body and self._declares_too_much():
+            self.abort("answer is too large")
+        if self.stale:
+            if self.has_body and not self.framed:
+                # The awaited response cannot follow on this connection.
+                self.abort("answers of other requests")
+            return
+        successful = start_line.code in SUCCESS_STATUSES
+        self._on_report(ServerReport.read(headers, self._dialect, not request_id, successful))
+
+    def _declares_too_much(self):
+        declared = self.headers.get("Content-Length", "")
+        return is_whole_number(declared) and int(declared) > self._expected.max_bytes
 
     def data_received(self, chunk):
-        """Collect a part of the body, up to the size limit."""
-        self._size += len(chunk)
-        if self._size > self._max_answer_bytes:
-            self.too_large = True
-        else:
-            self._parts.append(chunk)
+        """Collect a part of the body, up to the limits on size and memory."""
+        if self.failure:
+            return
+        self.size += len(chunk)
+        if self.size > self._expected.max_bytes:
+            self.abort("answer is too large")
+        elif not self.stale:
+            self._body += chunk
+            self._intake.add(self, len(chunk))
 
     def finish(self):
         """Mark the response as complete according to its framing."""
@@ -61,12 +134,18 @@
     def on_connection_close(self):
         """Do nothing; an incomplete response is detected by `complete`."""
 
+    def abort(self, reason):
+        """Discard the response and close its connection."""
+        self.failure = reason
+        self._body = bytearray()
+        self._close()
+
     @property
     def has_body(self):
         """Whether a response to this request with this status has a body."""
-        return not self._head_only and self.start.code not in (204, 304)
+        return not self._expected.head_only and self.start.code not in BODYLESS_STATUSES
 
     def answer(self):
         """Return the response as an `Answered` outcome."""
         headers = list(self.headers.get_all())
-        return Answered(self.start.code, self.start.reason, headers, b"".join(self._parts))
+        return Answered(self.start.code, self.start.reason, headers, bytes(self._body))
--- a/caperstack/backend/connection.py
+++ b/caperstack/backend/connection.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import socket
+import sys
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
-from tornado.httputil import HTTPHeaders, RequestStartLine
-from tornado.iostream import StreamClosedError
+from tornado.httputil import HTTPHeaders
+from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
-from caperstack.backend.collector import ResponseCollector
+from caperstack.backend.collector import ExpectedResponse, ResponseCollector
 from caperstack.backend.stream import BackendStream
 from caperstack.calls.dialect import is_whole_number
 from caperstack.clock import deadline_after, now
@@ -32,6 +33,12 @@
 IDLE_SECONDS = 5.0
 IDLE_MARGIN_SECONDS = 1.0
 
+#: Reasons for which a response is incomplete: the server closed or reset the connection, this
+#: node closed it, or the bytes that came are no response.
+CLOSED = "connection closed"
+CLOSED_HERE = "connection closed by this node"
+NO_ANSWER = "bytes are no answer"
+
 METHODS_WITH_BODY = frozenset(("POST", "PUT", "PATCH"))
 
 
@@ -44,8 +51,8 @@
         IP address and port of the backend server.
     dialect : caperstack.calls.dialect.Dialect
         Header names and conventions of the backend server.
-    max_answer_bytes : int
-        Maximum size of a response body, in bytes.
+    intake : caperstack.backend.intake.AnswerIntake
+        The answers that are being received from the server.
     on_report : callable
         Called with the `ServerReport` of each response, as soon as its head is read.
 
@@ -57,10 +64,10 @@
         Number of requests sent.
     """
 
-    def __init__(self, address, dialect, max_answer_bytes, on_report):
+    def __init__(self, address, dialect, intake, on_report):
         self._address = address
         self._dialect = dialect
-        self._max_answer_bytes = max_answer_bytes
+        self._intake = intake
         self._on_report = on_report
         self._stream = None
         self._reusable = True
@@ -80,7 +87,7 @@
         """
         sock = socket.socket()
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._stream = BackendStream(sock)
+        self._stream = BackendStream(sock, self._intake)
         try:
             async with asyncio.timeout_at(deadline):
                 await self._stream.connect(self._address)
@@ -99,6 +106,11 @@
     def _peer(self):
         return f"{self._address[0]}:{self._address[1]}"
 
+    @property
+    def reusable(self):
+        """Whether the connection may be kept for another request after a complete response."""
+        return self._reusable and not self._stream.closed() and not self._stream.surplus
+
     def usable(self):
         """Return whether the idle connection can carry another request.
 
@@ -109,9 +121,7 @@
         to another one.  Peeking at the socket just before sending detects both.  A
         close that crosses the request on the wire is not detected.
         """
-        if not self._reusable or now() > self._idle_until or self._stream.closed():
-            return False
-        return not self._stream.surplus and not self._has_unread()
+        return self.reusable and now() <= self._idle_until and not self._has_unread()
 
     def _has_unread(self):
         """Return whether the socket holds bytes, or the end of the connection, not yet read."""
@@ -123,9 +133,22 @@
             pass
         return True
 
-    async def exchange(self, method, target, headers, body, request_id):
+    async def exchange(self, request, headers, body, request_id, max_bytes):
         """Send a request and return the complete response as `Answered`.
 
+        Parameters
+        ----------
+        request : tornado.httputil.RequestStartLine
+            Request line.
+        headers : list of (str, str)
+            Headers of the request.
+        body : bytes
+            Body of the request.
+        request_id : str
+            Id that the server echoes; empty if the request has none.
+        max_bytes : int
+            Maximum size of the body of the response.
+
         Raises
         ------
         BackendError
@@ -133,12 +156,11 @@
         """
         self.requests += 1
         http = self._http()
-        http.write_headers(
-            RequestStartLine(method, target, "HTTP/1.1"), _header_block(method, headers, body), body
-        )
+        http.write_headers(request, _header_block(request.method, headers, body), body)
         http.finish()
+        expected = ExpectedResponse(request_id, request.method == "HEAD", max_bytes)
         for _ in range(MAX_STALE_ANSWERS):
-            collector = await self._collect(http, method, request_id)
+            collector = await self._collect(http, expected)
             if not collector.stale:
                 return self._accept(collector)
             # This was a late response to an earlier request; read the next one.
@@ -147,35 +169,35 @@
         raise BackendError("answers of other requests", step="answer", peer=self._peer)
 
     def _http(self):
+        # The collector limits the size of the body.
         parameters = HTTP1ConnectionParameters(
-            max_header_size=MAX_HEADER_BYTES, max_body_size=self._max_answer_bytes
+            max_header_size=MAX_HEADER_BYTES, max_body_size=sys.maxsize
         )
         return HTTP1Connection(self._stream, True, parameters)
 
-    async def _collect(self, http, method, request_id):
+    async def _collect(self, http, expected):
+        self._stream.begin_response()
         collector = ResponseCollector(
-            request_id, self._dialect, self._max_answer_bytes, method == "HEAD", self._on_report
+            expected, self._dialect, self._intake, self._on_report, self._stream.close
         )
         try:
             still_open = await http.read_response(collector)
         except StreamClosedError:
             still_open = False
-        if collector.too_large or self._declared_too_large(collector):
-            raise BackendError("answer is too large", step="answer", peer=self._peer)
+        finally:
+            self._intake.remove(collector)
+        if collector.failure:
+            raise BackendError(
+                collector.failure, step="answer", peer=self._peer, received=collector.size
+            )
         if not collector.complete:
-            raise self._closed_error(unheard=collector.start is None)
+            raise self._closed_error(collector)
         self._reusable = self._reusable and still_open and not self._stream.closed()
         return collector
 
-    def _declared_too_large(self, collector):
-        if collector.headers is None or not collector.has_body:
-            return False
-        declared = collector.headers.get("Content-Length", "")
-        return is_whole_number(declared) and int(declared) > self._max_answer_bytes
-
     def _accept(self, collector):
         if collector.has_body and not collector.framed:
-            self._check_unframed()
+            self._check_unframed(collector)
         headers = collector.headers
         if headers.get("Connection", "").lower() == "close":
             self._reusable = False
@@ -183,7 +205,7 @@
         self.idle_since = now()
         return collector.answer()
 
-    def _check_unframed(self):
+    def _check_unframed(self, collector):
         # A response without a length ends when its connection closes, so a server
         # that crashes midway looks like one that finished unless the connection is
         # reset.  The dialect tells whether a clean close means that the response is
@@ -195,16 +217,29 @@
         if self._stream.error is not None:
             raise BackendError("connection reset", step="answer", peer=self._peer)
         if not self._stream.ended_by_server:
-            raise self._closed_error(unheard=False)
+            raise self._closed_error(collector)
 
-    def _closed_error(self, unheard):
+    def _closed_error(self, collector):
         """Return the error of a connection that closed before the end of a response."""
-        closed_here = self._closed_here and not self._stream.ended_by_server
-        reason = "connection closed by this node" if closed_here else "connection closed"
+        reason = self._close_reason()
         return BackendError(
-            reason, step="answer", peer=self._peer, unheard=unheard, closed_here=closed_here
+            reason,
+            step="answer",
+            peer=self._peer,
+            unheard=collector.start is None and reason != NO_ANSWER,
+            closed_here=reason == CLOSED_HERE,
+            received=collector.size,
         )
 
+    def _close_reason(self):
+        error = self._stream.error
+        if isinstance(error, UnsatisfiableReadError):
+            return NO_ANSWER
+        if error is not None or self._stream.ended_by_server:
+            return CLOSED
+        # Without an error, tornado closes the connection if it can't parse what arrives.
+        return CLOSED_HERE if self._closed_here else NO_ANSWER
+
     def close(self):
         """Close the connection, which tells the backend server that nobody awaits a response."""
         if self._stream is not None and not self._stream.closed():
--- a/caperstack/backend/monitor.py
+++ b/caperstack/backend/monitor.py
@@ -14,6 +14,9 @@
 #: Timeout of a request to an endpoint, in seconds.
 REQUEST_SECONDS = 1.0
 
+#: Maximum size of the document of an endpoint, in bytes.
+MAX_DOCUMENT_BYTES = 64 * 1024
+
 #: Consecutive failed requests after which a backend server counts as down, unless it
 #: still answers calls: these are better evidence than the health endpoint.
 MAX_FAILURES = 3
@@ -63,7 +66,12 @@
         self._task.cancel()
 
     async def _read_forever(self):
-        client = AsyncHTTPClient()
+        # An instance of its own, as the shared one has the limits of whoever used it first.
+        client = AsyncHTTPClient(
+            force_instance=True,
+            max_body_size=MAX_DOCUMENT_BYTES,
+            max_buffer_size=MAX_DOCUMENT_BYTES,
+        )
         backend = self._here.backend
         load_next = False
         while True:
--- a/caperstack/backend/stream.py
+++ b/caperstack/backend/stream.py
@@ -4,15 +4,32 @@
 
 __all__ = ["BackendStream"]
 
+#: Bytes of a response beyond which its parts are read in turn with those of other large ones.
+LARGE_BYTES = 64 * 1024
+
 
 class BackendStream(IOStream):
-    """An `IOStream` that counts unconsumed bytes, and knows whether the server has ended it."""
+    """An `IOStream` that counts unconsumed bytes, and knows whether the server has ended it.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        The socket.
+    intake : caperstack.backend.intake.AnswerIntake
+        Tells when the next part of a large response may be read.
+    """
 
-    def __init__(self, *arguments, **options):
+    def __init__(self, sock, intake):
+        self._intake = intake
         self._received = 0
         self._consumed = 0
+        self._response_from = 0
         self._ended_by_server = False
-        super().__init__(*arguments, **options)
+        super().__init__(sock)
+
+    def begin_response(self):
+        """Record that the bytes from here on belong to the next response."""
+        self._response_from = self._consumed
 
     @property
     def ended_by_server(self):
@@ -41,8 +58,14 @@
 
     def read_bytes(self, num_bytes, partial=False):
         """Read `num_bytes` bytes, and count the bytes consumed."""
+        if self._consumed - self._response_from > LARGE_BYTES:
+            return self._read_in_turn(num_bytes, partial)
         return self._counted(super().read_bytes(num_bytes, partial))
 
+    async def _read_in_turn(self, num_bytes, partial):
+        await self._intake.turn()
+        return await self._counted(super().read_bytes(num_bytes, partial))
+
     def read_until_close(self):
         """Read until the connection closes, and count the bytes consumed."""
         return self._counted(super().read_until_close())
--- a/caperstack/backend/tests/servers.py
+++ b/caperstack/backend/tests/servers.py
@@ -58,7 +58,7 @@
             while head := await reader.readuntil(b"\r\n\r\n"):
                 self.requests.append(head.decode())
                 await self._reply(self, head.decode(), writer)
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
             pass
         finally:
             self.open_connections -= 1
--- a/caperstack/config/node.py
+++ b/caperstack/config/node.py
@@ -44,6 +44,8 @@
     bodies_bytes : int
         Maximum total size of the request bodies that the port for callers holds, and of the
         answers that callers have not read.
+    answers_bytes : int
+        Maximum total size of the responses that are being received from the backend server.
     body_seconds : float
         Time in which a caller must send a whole request after its head.
     idle_seconds : float
@@ -58,6 +60,7 @@
 
     body_bytes: int = 16 * MEBIBYTE
     bodies_bytes: int = 32 * MEBIBYTE
+    answers_bytes: int = 16 * MEBIBYTE
     body_seconds: float = 30.0
     idle_seconds: float = 120.0
     unread_seconds: float = 30.0
--- a/caperstack/config/start.py
+++ b/caperstack/config/start.py
@@ -76,6 +76,7 @@
 
     body_bytes: int = Field(16 * MEBIBYTE, ge=1024, le=64 * MEBIBYTE)
     bodies_bytes: int = Field(96 * MEBIBYTE, ge=1024, le=256 * MEBIBYTE)
+    answers_bytes: int = Field(48 * MEBIBYTE, ge=1024, le=256 * MEBIBYTE)
     body_seconds: float = Field(30.0, gt=0, le=600)
     idle_seconds: float = Field(120.0, gt=0, le=3600)
     unread_seconds: float = Field(30.0, gt=0, le=600)
--- a/caperstack/exception.py
+++ b/caperstack/exception.py
@@ -66,7 +66,7 @@
     refused the connection because no process listens at its address; ``closed_here`` is
     true if this node closed the connection, so that the failure is no sign of a fault of
     the server.  ``status`` is that of an answer which cannot be passed on, 0 if there was
-    none.
+    none; ``received`` is the number of bytes of its body that came.
     """
 
     def __init__(
@@ -80,6 +80,7 @@
         refused=False,
         closed_here=False,
         status=0,
+        received=0,
     ):
         super().__init__(message, step=step, peer=peer)
         self.sent = sent
@@ -87,6 +88,7 @@
         self.refused = refused
         self.closed_here = closed_here
         self.status = status
+        self.received = received
 
 
 class PlatformError(CaperstackError):
--- a/caperstack/node/assemble.py
+++ b/caperstack/node/assemble.py
@@ -42,7 +42,12 @@
     """
     kernel = Kernel()
     security = PeerSecurity(here.security)
-    client = BackendClient(here.backend.address, here.backend.connections, here.limits.body_bytes)
+    client = BackendClient(
+        here.backend.address,
+        here.backend.connections,
+        here.limits.body_bytes,
+        max_held_bytes=here.limits.answers_bytes,
+    )
     link = LinkBudget(here.limits.link_bytes_per_second)
     kernel.register("metrics", Metrics(here.host))
     kernel.register("events", EventRing(here.host, log))
--- a/caperstack/platform/assemble.py
+++ b/caperstack/platform/assemble.py
@@ -60,7 +60,11 @@
     restores = Restores(boot.heartbeat_seconds)
     codec = StoreCodec(restores)
     client = BackendClient(
-        here.backend.address, here.backend.connections, here.limits.body_bytes, DIALECT
+        here.backend.address,
+        here.backend.connections,
+        here.limits.body_bytes,
+        DIALECT,
+        max_held_bytes=here.limits.answers_bytes,
     )
     fleet = FleetView(here, boot.cold_bound)
     link = LinkBudget(here.limits.link_bytes_per_second)
--- a/caperstack/platform/boot.py
+++ b/caperstack/platform/boot.py
@@ -30,6 +30,13 @@
 #: in seconds.  A slow host needs it to answer the open calls and to stop the services.
 KILL_MARGIN_SECONDS = 0.8
 
+#: Shares of the host's memory for the request bodies that the port for callers holds, and for
+#: the responses that are being received from the backend server.
+BODIES_SHARE = 1 / 4
+ANSWERS_SHARE = 1 / 8
+
+MEBIBYTE = 1024 * 1024
+
 #: Bytes in a megabit, the unit of the link's rate.
 BYTES_PER_MEGABIT = 125_000
 
@@ -216,7 +223,8 @@
             boot.backend_address, boot.service, INITIAL_SLOTS, SLOTS_SHARE, MAX_CONNECTIONS
         ),
         limits=Limits(
-            bodies_bytes=boot.limits.memory_mb * 1024 * 1024 // 4,
+            bodies_bytes=int(boot.limits.memory_mb * MEBIBYTE * BODIES_SHARE),
+            answers_bytes=int(boot.limits.memory_mb * MEBIBYTE * ANSWERS_SHARE),
             link_bytes_per_second=(boot.limits.link_mbps or 0.0) * BYTES_PER_MEGABIT,
         ),
     )
--- a/caperstack/platform/standin/instance.py
+++ b/caperstack/platform/standin/instance.py
@@ -15,6 +15,11 @@
 
 HEALTH_PATH = "/health"
 
+#: What is sent again and again where a response has no end, and bytes of an answer that has none
+#: either but stops.
+ENDLESS_BLOCK = b"x" * 16 * 1024
+FIRST_PART_BYTES = 5
+
 
 @dataclass
 class Behaviour:
@@ -37,7 +42,11 @@
         Send a second response after each response.
     unframed : str
         Send responses without a length. With ``"whole"`` the connection is closed after
-        the body, with ``"reset"`` it is reset in the middle of the body.
+        the body, with ``"reset"`` it is reset in the middle of the body, and with ``"silent"``
+        nothing follows the first part of the body and the connection stays open.
+    endless : str
+        Send responses without end, those of the health path too: ``"head"`` or ``"body"`` tells
+        what does not end.
     healthy : bool
         Whether the health path answers 200 or 503.
     fatal : frozenset of str
@@ -73,6 +82,7 @@
     lose_answers: bool = False
     extra_answers: bool = False
     unframed: str = ""
+    endless: str = ""
     healthy: bool = True
     fatal: frozenset = frozenset()
     fatal_seconds: float = 0.05
@@ -190,7 +200,9 @@
         request.connection.set_close_callback(task.cancel)
 
     async def _handle(self, request):
-        if request.path == HEALTH_PATH:
+        if self.behaviour.endless:
+            await self._write_endless(request)
+        elif request.path == HEALTH_PATH:
             milliseconds = max(0, round(time_left(self.behaviour.cold_until) * 1000))
             text = self.behaviour.cold_text or (str(milliseconds) if milliseconds else "")
             headers = {DIALECT.cold: text} if text else {}
@@ -289,15 +301,32 @@
 
     def _write_unframed(self, request):
         body = self.behaviour.body_for(request.uri)
-        headers = self._headers(request, {SERVER_SEAL_HEADER: str(len(body))})
-        head = "".join(f"{name}: {value}\r\n" for name, value in headers.get_all())
         complete = self.behaviour.unframed == "whole"
         stream = request.connection.stream
-        stream.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode() + body[: None if complete else 5])
+        sent = body if complete else body[:FIRST_PART_BYTES]
+        stream.write(self._unframed_head(request, body) + b"\r\n" + sent)
+        if self.behaviour.unframed == "silent":
+            return
         if not complete:
             _reset_on_close(stream.socket)
         asyncio.get_running_loop().call_later(0.02, stream.close)
 
+    def _unframed_head(self, request, body):
+        """Return the head of a response without a length, but for the empty line after it."""
+        headers = self._headers(request, {SERVER_SEAL_HEADER: str(len(body))})
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.get_all())
+        return f"HTTP/1.1 200 OK\r\n{lines}".encode()
+
+    async def _write_endless(self, request):
+        """Send until the connection is closed, which cancels the task."""
+        stream = request.connection.stream
+        begin = b"\r\n" if self.behaviour.endless == "body" else b"X-Filler: "
+        await stream.write(self._unframed_head(request, b"") + begin)
+        while True:
+            await stream.write(ENDLESS_BLOCK)
+            # A write that the kernel takes at once does not let other tasks run.
+            await asyncio.sleep(0)
+
 
 def _reset_on_close(sock):
     # Closing a socket with a linger time of zero sends a reset. 1 and 13 are SOL_SOCKET and
--- a/caperstack/platform/tests/fleetcase.py
+++ b/caperstack/platform/tests/fleetcase.py
@@ -24,6 +24,9 @@
     #: Entries of the start settings' ``bounds`` that replace the defaults of the fleet.
     bounds = {}
 
+    #: Entries of the start settings' ``limits``.
+    limits = {}
+
     #: Slots of each backend server.
     slots = 8
 
@@ -31,6 +34,7 @@
         fleet = PlatformFleet(list(self.services), list(ROUTES))
         for host in fleet.hosts:
             host.boot["bounds"].update(self.bounds)
+            host.boot["limits"] = self.limits
             host.instance.slots = self.slots
         self.fleet = await self.enterAsyncContext(fleet)
         self.first, self.second, self.third = self.fleet.hosts[:3]
