--- a/caperstack/soak/faults.py
+++ b/caperstack/soak/faults.py
@@ -17,6 +17,7 @@
     "RESTORE",
     "STATEMENTS",
     "STOP_READING",
+    "UNFINISHED",
     "change_configuration",
 ]
 
@@ -59,6 +60,9 @@
 FATAL_SECONDS = 10.0
 FATAL_RETRY_SECONDS = (0.02, 0.5)
 
+#: How long a server that stops in the middle of answers is listed, in seconds.
+SILENT_SECONDS = (0.2, 1.0)
+
 #: Callers that stop reading together, for long and for a short time.  With the memory of the
 #: soak's hosts, the answers of the former exceed the limit that holds for stalled callers, and
 #: all answers together do not exceed the other one.
@@ -251,6 +255,18 @@
     await asyncio.sleep(state.fleet.down_seconds)
 
 
+async def fall_silent(state):
+    """A backend server stops in the middle of answers without a length; another takes over."""
+    host = state.random_host()
+    instance = host.instance
+    instance.behaviour.unframed = "silent"
+    await asyncio.sleep(state.rng.uniform(*SILENT_SECONDS))
+    instance.behaviour.unframed = ""
+    state.fleet.withdraw(host)
+    instance.name = f"{instance.name}-{next(_instance_numbers)}"
+    state.fleet.register(host)
+
+
 async def evacuate_zone(state):
     """Evacuate a zone for a few seconds; its servers are cold afterwards."""
     zone = state.random_host().zone
@@ -329,6 +345,13 @@
     "server states that it leaves": state_departure,
 }
 
+#: The faults of servers whose answers have no end.
+UNFINISHED = {
+    "server falls silent": fall_silent,
+    "server sends heads without end": _server_fault(1.5, endless="head"),
+    "server sends bodies without end": _server_fault(1.5, endless="body"),
+}
+
 #: All faults; the others run concurrently with those of the processes.
 FAULTS = (
     PROCESS_FAULTS
@@ -353,4 +376,5 @@
         STOP_READING: stop_reading,
     }
     | STATEMENTS
+    | UNFINISHED
 )
--- a/caperstack/soak/platform.py
+++ b/caperstack/soak/platform.py
@@ -16,6 +16,7 @@
     RESTORE,
     STATEMENTS,
     STOP_READING,
+    UNFINISHED,
 )
 from caperstack.soak.state import Change, SoakState
 
@@ -95,7 +96,7 @@
     Faults of processes, of the store, of servers and of callers each form a stream.  If
     `server_faults` are given, that of the servers consists of these alone.
     """
-    inserted = {RESTORE, *PROCESS_FAULTS, *STATEMENTS, STOP_READING}
+    inserted = {RESTORE, *PROCESS_FAULTS, *STATEMENTS, *UNFINISHED, STOP_READING}
     others = [name for name in FAULTS if name not in inserted]
     store = [name for name in others if name.startswith("store")]
     servers = [name for name in others if not name.startswith("store")]
@@ -107,7 +108,7 @@
     # Inserted last, so that a seed gives the same order of the other faults as without it.
     store.insert(rng.randrange(len(store) + 1), RESTORE)
     # Appended, so that a seed gives the same faults at the same times as without them.
-    servers += STATEMENTS
+    servers += [*STATEMENTS, *UNFINISHED]
     yield itertools.cycle(processes), FAULT_GAP_SECONDS
     yield itertools.cycle(store), STORE_FAULT_GAP_SECONDS
     yield itertools.cycle(server_faults or servers), FAULT_GAP_SECONDS
