Consumed bytes of a backend connection are counted at once; answers without a length are refused by their head

What callers would have seen: nothing but a new connection for nearly each request, which servers and operators pay for.

Change: a future that is done is counted at once. Where the dialect has no answers without a length, they are refused by their head; the node had read them to their end first.

--- a/caperstack/backend/client.py
+++ b/caperstack/backend/client.py
@@ -154,7 +154,7 @@
         arrived.  The limit on the reuse of idle connections is reset.
         """
         for connection in list(self._running):
-            connection.read_out()
+            connection.close_once_read()
         self._drop_idle()
         self._reuse = ReusePolicy()
 
--- a/caperstack/backend/collector.py
+++ b/caperstack/backend/collector.py
@@ -102,16 +102,24 @@
         echoed = headers.get(self._dialect.request_id)
         self.stale = echoed is not None and echoed != request_id
         self.framed = "Content-Length" in headers or "Transfer-Encoding" in headers
-        if self.has_body and self._declares_too_much():
-            self.abort("answer is too large")
+        self._abort_if_useless()
         if self.stale:
-            if self.has_body and not self.framed:
-                # The awaited response cannot follow on this connection.
-                self.abort("answers of other requests")
             return
         successful = start_line.code in SUCCESS_STATUSES
         self._on_report(ServerReport.read(headers, self._dialect, not request_id, successful))
 
+    def _abort_if_useless(self):
+        """Abort a response whose head shows that the awaited one will not be complete."""
+        if not self.has_body:
+            return
+        if self._declares_too_much():
+            self.abort("answer is too large")
+        elif not self.framed and self.stale:
+            # The awaited response cannot follow on this connection.
+            self.abort("answers of other requests")
+        elif not self.framed and not self._dialect.ends_with_connection:
+            self.abort("answer without a length")
+
     def _declares_too_much(self):
         declared = self.headers.get("Content-Length", "")
         return is_whole_number(declared) and int(declared) > self._expected.max_bytes
--- a/caperstack/backend/connection.py
+++ b/caperstack/backend/connection.py
@@ -20,8 +20,8 @@
 
 #: Time for which a connection that is to be closed may still deliver what has already
 #: arrived, and interval between checks whether it has, in seconds.
-READ_OUT_SECONDS = 0.05
-READ_OUT_CHECK_SECONDS = 0.001
+READ_REST_SECONDS = 0.05
+READ_REST_CHECK_SECONDS = 0.001
 
 #: Number of late responses to earlier requests after which an exchange fails and its
 #: connection is closed.
@@ -72,7 +72,7 @@
         self._stream = None
         self._reusable = True
         self._closed_here = False
-        self._read_out_until = 0.0
+        self._read_rest_until = 0.0
         self._idle_until = 0.0
         self.idle_since = 0.0
         self.requests = 0
@@ -206,14 +206,9 @@
         return collector.answer()
 
     def _check_unframed(self, collector):
-        # A response without a length ends when its connection closes, so a server
-        # that crashes midway looks like one that finished unless the connection is
-        # reset.  The dialect tells whether a clean close means that the response is
-        # complete.  Only the server's close does: tornado also ends the body when this
-        # node closes the connection, for example after a restart of the server.
+        # tornado ends the body whenever the connection closes: also if the server resets
+        # it, and if this node closes it, for example after a restart of the server.
         self._reusable = False
-        if not self._dialect.ends_with_connection:
-            raise BackendError("answer without a length", step="answer", peer=self._peer)
         if self._stream.error is not None:
             raise BackendError("connection reset", step="answer", peer=self._peer)
         if not self._stream.ended_by_server:
@@ -246,7 +241,7 @@
             self._closed_here = True
             self._stream.close()
 
-    def read_out(self):
+    def close_once_read(self):
         """Close the connection as soon as what has already arrived is read.
 
         Notes
@@ -255,14 +250,14 @@
         may be ready to be read at the same time.
         """
         self._reusable = False
-        self._read_out_until = deadline_after(READ_OUT_SECONDS)
-        self._close_once_read()
+        self._read_rest_until = deadline_after(READ_REST_SECONDS)
+        self._close_if_read()
 
-    def _close_once_read(self):
+    def _close_if_read(self):
         if self._stream.closed():
             return
-        if self._has_unread() and now() < self._read_out_until:
-            asyncio.get_running_loop().call_later(READ_OUT_CHECK_SECONDS, self._close_once_read)
+        if self._has_unread() and now() < self._read_rest_until:
+            asyncio.get_running_loop().call_later(READ_REST_CHECK_SECONDS, self._close_if_read)
         else:
             self.close()
 
--- a/caperstack/backend/stream.py
+++ b/caperstack/backend/stream.py
@@ -71,7 +71,11 @@
         return self._counted(super().read_until_close())
 
     def _counted(self, future):
-        future.add_done_callback(self._count)
+        # The callback of a future that is done would run only after the bytes are used.
+        if future.done():
+            self._count(future)
+        else:
+            future.add_done_callback(self._count)
         return future
 
     def _count(self, future):
--- a/caperstack/backend/tests/test_client.py
+++ b/caperstack/backend/tests/test_client.py
@@ -194,6 +194,13 @@
         self.assertTrue(error.sent)
         self.assertEqual(self.server.requests, 2)
 
+    async def test_requests_in_sequence_share_a_connection(self):
+        """Guards against a connection per request, as whole answers seem to have a surplus."""
+        client = await self.client_for(*[GOOD] * 5)
+        for _ in range(5):
+            await client.fetch(make_call())
+        self.assertEqual((self.server.requests, client.opened), (5, 1))
+
     async def test_idle_connection_closed_by_the_server_is_not_used(self):
         # The backend server closes an idle connection.  If the client does not
         # notice and sends a non-idempotent request on it, the request ends as
--- a/caperstack/calls/dialect.py
+++ b/caperstack/calls/dialect.py
@@ -60,9 +60,9 @@
     traces : bool
         Whether the node adds ``Traceparent``, ``Forwarded`` and the call depth.
     ends_with_connection : bool
-        Whether a response without a length is complete when its connection
-        closes without an error.  If false, such a response is an error, since
-        a server that crashes midway closes its connection in the same way.
+        Whether a response without a length is complete when its server
+        closes the connection without an error.  If false, such a response is
+        an error, since a server that crashes midway closes it in the same way.
     fractional_seconds : bool
         Whether callers accept fractions of a second in ``Retry-After``.
     """
