A test of documents without end from the product's own health endpoint

The client of the monitor also had its buffer cut to the size of a document, so that a head without end wrote two lines of tornado's to standard error for each check, beside the bounded log; the limits on head and body are enough.

--- a/caperstack/backend/monitor.py
+++ b/caperstack/backend/monitor.py
@@ -67,11 +67,7 @@
 
     async def _read_forever(self):
         # An instance of its own, as the shared one has the limits of whoever used it first.
-        client = AsyncHTTPClient(
-            force_instance=True,
-            max_body_size=MAX_DOCUMENT_BYTES,
-            max_buffer_size=MAX_DOCUMENT_BYTES,
-        )
+        client = AsyncHTTPClient(force_instance=True, max_body_size=MAX_DOCUMENT_BYTES)
         backend = self._here.backend
         load_next = False
         while True:
--- a/caperstack/backend/tests/test_endless.py
+++ b/caperstack/backend/tests/test_endless.py
@@ -3,11 +3,15 @@
 import asyncio
 import tracemalloc
 import unittest
+from types import SimpleNamespace
+from unittest import mock
 
 from caperstack.backend.client import BackendClient
+from caperstack.backend.monitor import BackendMonitor
 from caperstack.backend.tests.servers import RawServer
 from caperstack.backend.tests.test_unframed import make_call
 from caperstack.calls.dialect import Dialect
+from caperstack.calls.model import ServerState
 from caperstack.clock import deadline_after, now
 from caperstack.exception import BackendError
 
@@ -167,5 +171,38 @@
         self.assertEqual(sound, [whole] * self.CONNECTIONS)
 
 
+class TestEndlessDocuments(EndlessCase):
+    """The product's own health endpoint sends a document without end."""
+
+    async def test_monitor_gives_up_and_closes_the_connection(self):
+        """Guards against a monitor that reads an endpoint until the memory is used up."""
+        for name in ("head", "body", "chunks"):
+            first, repeated, _ = ENDLESS[name]
+            with self.subTest(name):
+                await self.start(first, repeated)
+                peak = await self.peak_of_three_failures()
+                self.assertLess(peak, 2 * CONNECTION_BYTES)
+                await self.connections_closed()
+
+    async def peak_of_three_failures(self):
+        metrics, settings = mock.Mock(), mock.Mock()
+        settings.service.return_value = SimpleNamespace(policy="", measuring_per_second=50.0)
+        owner = SimpleNamespace(node_leaves=False, answering=False, set_health=mock.Mock())
+        services = {"owner": owner, "settings": settings, "metrics": metrics}
+        backend = SimpleNamespace(address=self.server.address, health_path="/h", service="s")
+        monitor = BackendMonitor(SimpleNamespace(backend=backend))
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        await monitor.start(SimpleNamespace(find=services.__getitem__))
+        async with asyncio.timeout(20):
+            while not owner.set_health.called:
+                await asyncio.sleep(0.01)
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        await monitor.stop()
+        owner.set_health.assert_called_with(ServerState.DOWN)
+        return peak
+
+
 if __name__ == "__main__":
     unittest.main()
