The summary of a test run counts a subtest only if it fails

What was seen: "754 passed, 60 failed, 1 skipped" at the end of a whole run with status 0 in which no test had failed.

Cause: each subtest that passes has an outcome of its own, which is neither "passed" nor "skipped", so it counted as failed. The exit status never followed these counts.

Change: a subtest without an error is not counted; one with an error counts as failed, as before.

--- a/caperstack/bench/summary.py
+++ b/caperstack/bench/summary.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 import hypothesis
+from nose2 import result
 from nose2.events import Plugin
 
 __all__ = ["Summary", "read_known_red"]
@@ -57,7 +58,12 @@
             self._listed.setdefault(event.test.id(), "listed as red, passes now")
 
     def testOutcome(self, event):  # noqa: N802 (nose2's name)
-        """Count the outcome of one test."""
+        """Count the outcome of one test.
+
+        A subtest counts only if it fails; its test has an outcome of its own if all pass.
+        """
+        if event.outcome == result.SUBTEST and event.exc_info is None:
+            return
         if event.outcome == "skipped" or event.test.id() in self._listed:
             self._counts["skipped"] += 1
         elif event.outcome == "passed" and event.expected:
--- a/caperstack/bench/tests/test_summary.py
+++ b/caperstack/bench/tests/test_summary.py
@@ -20,9 +20,12 @@
         ):
             self.summary = Summary()
 
-    def end(self, name, outcome):
+    def end(self, name, outcome, error=None):
         event = SimpleNamespace(
-            test=SimpleNamespace(id=lambda: name), outcome=outcome, expected=outcome == "passed"
+            test=SimpleNamespace(id=lambda: name),
+            outcome=outcome,
+            expected=outcome == "passed",
+            exc_info=error,
         )
         self.summary.setTestOutcome(event)
         self.summary.testOutcome(event)
@@ -51,6 +54,13 @@
             (event.expected, self.printed()), (False, ["0 passed, 1 failed, 0 skipped"])
         )
 
+    def test_subtests_count_only_if_they_fail(self):
+        """Guards against a summary of a green run that tells of failures."""
+        self.end("a.TestA.test_c (n=1)", "subtest")
+        self.end("a.TestA.test_c", "passed")
+        self.end("a.TestA.test_d (n=1)", "subtest", (ValueError, ValueError(), None))
+        self.assertEqual(self.printed(), ["1 passed, 1 failed, 0 skipped"])
+
     def test_entries_are_read_without_comments(self):
         path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "list"
         self.assertEqual(read_known_red(path), {})
