A call queued at a server that begins to limit its requests moves to another

What callers saw: 503 "backend server limits its requests" with Retry-After 2.5, for a booking that another server of the service had room for.

Cause: a node that has just started has no reading of its server yet. Both owners refuse the first booking ("pace of the host is not known yet"), so the entry lets it queue at the better one. The first reading then states a rate of 0.4 a second, which begins without a start in hand, so the queued booking is refused, and that refusal was final. The entry had chosen that server by a belief that the refusal itself refutes; it knew that an evacuation or a server that leaves says nothing about the others, but not that a new rate doesn't.

Change: a refusal by the server at which the call queued is not final if that server has stated a lower rate since it was chosen. The rate is known then, so the next choice weighs it; each further offer needs a further, lower rate.

Figures: the new tests fail before (refused; one offer) and pass after.

--- a/caperstack/routing/dispatch.py
+++ b/caperstack/routing/dispatch.py
@@ -114,15 +114,16 @@
             if member is None or not attempts.take():
                 break
             tried.append(member)
+            rate_limit = member.estimate.rate_limit
             outcome = await self._attempt(call, member, state, last)
             best = _better(outcome, best)
             if _is_final(outcome):
                 return best
             if isinstance(outcome, NotRun) and not outcome.offered:
                 # No server received the call.  If it was to queue at the best member, this
-                # is final, unless that member has begun to leave or drain meanwhile, which
-                # says nothing about the others.
-                if last and not member.leaving:
+                # is final, unless that member has begun to leave, drain or limit its
+                # requests meanwhile, which says nothing about the others.
+                if last and not (member.leaving or self._limits_more(member, rate_limit)):
                     return best
                 attempts.give_back()
                 refusals += 1
@@ -135,6 +136,12 @@
             self._members.unavailable_reason(call.service), NO_SERVER_RETRY_SECONDS
         )
 
+    def _limits_more(self, member, rate_limit):
+        """Return whether `member` has stated a rate below `rate_limit`, its former one."""
+        member.owner.freshen(member.estimate)
+        current = member.estimate.rate_limit
+        return current > 0 and (rate_limit == 0 or current < rate_limit)
+
     def _refuse_quarantined(self, call, best):
         """Return the outcome of a call whose request is quarantined."""
         refusal = self._suspects.refusal(call)
--- a/caperstack/routing/tests/test_dispatch.py
+++ b/caperstack/routing/tests/test_dispatch.py
@@ -368,6 +368,32 @@
         self.assertIsInstance(fixture.dispatch(idempotent=True), NotRun)
         self.assertEqual(second.calls, [])
 
+    def limiting_owner(self, rates):
+        """Return an owner that queues a call until its server states the next of `rates`."""
+
+        async def limited():
+            rate = rates.pop(0)
+            self.fixture.members[0].estimate.update_load(
+                Load(service_us=20_000, rate_limit=rate, rate_wait_ms=1_000_000 // rate)
+            )
+            return NotRun("backend server limits its requests", 1000 / rate)
+
+        return FakeOwner(limited)
+
+    def test_call_queued_at_a_server_that_begins_to_limit_moves(self):
+        """Guards against a caller that is refused for a new rate while another server is free."""
+        owner, other = self.limiting_owner([400]), FakeOwner(OK_ANSWER)
+        self.fixture = DispatcherFixture(owner, other, refusals_per_call=0)
+        self.assertEqual(self.fixture.dispatch(), OK_ANSWER)
+        self.assertEqual((len(owner.calls), len(other.calls)), (1, 1))
+
+    def test_refusal_for_a_rate_that_was_known_is_final(self):
+        """Guards against calls that are offered again and again to a limited server."""
+        owner = self.limiting_owner([400, 400])
+        self.fixture = DispatcherFixture(owner, refusals_per_call=0)
+        self.assertIsInstance(self.fixture.dispatch(), NotRun)
+        self.assertEqual(len(owner.calls), 2)
+
 
 class TestEvacuation(unittest.TestCase):
     """Zones that operators have evacuated."""
