A connection to a former address of the backend server is not used again

What callers would have seen: answers of the server at the former address, for as long as a busy node reused the connection, after the operator had given the server another address.

Cause: a change of address closed the idle connections only. One that was carrying a request became idle afterwards.

Ruled out: to close it at once, since its answer is sound and would be lost.

Change: a connection is kept only if it leads to the present address.

--- a/caperstack/backend/client.py
+++ b/caperstack/backend/client.py
@@ -265,7 +265,7 @@
             raise
         finally:
             self._running.discard(connection)
-            if complete and connection.reusable:
+            if complete and connection.reusable and connection.peer == self._address:
                 self._idle.append(connection)
             else:
                 connection.close()
--- a/caperstack/backend/connection.py
+++ b/caperstack/backend/connection.py
@@ -96,14 +96,15 @@
             reason = str(error) or "no connection in time"
             refused = isinstance(self._stream.error, ConnectionRefusedError)
             raise BackendError(
-                reason, step="connect", peer=self._peer, sent=False, refused=refused
+                reason, step="connect", peer=self.peer, sent=False, refused=refused
             ) from None
         except asyncio.CancelledError:
             self.close()
             raise
 
     @property
-    def _peer(self):
+    def peer(self):
+        """The backend server's ``ip:port``."""
         return f"{self._address[0]}:{self._address[1]}"
 
     @property
@@ -166,7 +167,7 @@
             # This was a late response to an earlier request; read the next one.
             http = self._http()
             http.finish()
-        raise BackendError("answers of other requests", step="answer", peer=self._peer)
+        raise BackendError("answers of other requests", step="answer", peer=self.peer)
 
     def _http(self):
         # The collector limits the size of the body.
@@ -188,7 +189,7 @@
             self._intake.remove(collector)
         if collector.failure:
             raise BackendError(
-                collector.failure, step="answer", peer=self._peer, received=collector.size
+                collector.failure, step="answer", peer=self.peer, received=collector.size
             )
         if not collector.complete:
             raise self._closed_error(collector)
@@ -210,7 +211,7 @@
         # it, and if this node closes it, for example after a restart of the server.
         self._reusable = False
         if self._stream.error is not None:
-            raise BackendError("connection reset", step="answer", peer=self._peer)
+            raise BackendError("connection reset", step="answer", peer=self.peer)
         if not self._stream.ended_by_server:
             raise self._closed_error(collector)
 
@@ -220,7 +221,7 @@
         return BackendError(
             reason,
             step="answer",
-            peer=self._peer,
+            peer=self.peer,
             unheard=collector.start is None and reason != NO_ANSWER,
             closed_here=reason == CLOSED_HERE,
             received=collector.size,
--- a/caperstack/backend/tests/test_client.py
+++ b/caperstack/backend/tests/test_client.py
@@ -7,6 +7,7 @@
 
 from caperstack.addresses import split_address
 from caperstack.backend.client import BackendClient
+from caperstack.backend.tests.servers import RawServer
 from caperstack.bench.fleet import free_addresses
 from caperstack.calls.dialect import Dialect
 from caperstack.calls.model import Call, NotRun
@@ -101,6 +102,34 @@
         await client.stop()
 
 
+class TestChangedAddress(unittest.IsolatedAsyncioTestCase):
+    """A backend server whose address changes while a request is in progress."""
+
+    async def test_connection_to_the_former_address_is_not_used_again(self):
+        """Guards against requests that still go to the server at the former address."""
+        ready = asyncio.Event()
+
+        async def reply(_server, _head, writer):
+            await ready.wait()
+            writer.write(GOOD)
+
+        former, current = RawServer(reply), RawServer(reply)
+        for server in (former, current):
+            await server.start()
+            self.addAsyncCleanup(server.stop)
+        client = BackendClient(former.address, 10, 1024)
+        self.addAsyncCleanup(client.stop)
+        first = asyncio.create_task(client.fetch(make_call()))
+        while not former.requests:
+            await asyncio.sleep(0.001)
+        client.set_address(current.address)
+        ready.set()
+        self.assertEqual((await first).status, 200)
+        await client.fetch(make_call())
+        await client.probe("/health", deadline_after(2.0))
+        self.assertEqual((len(former.requests), len(current.requests)), (1, 2))
+
+
 class TestOddNumbers(unittest.IsolatedAsyncioTestCase):
     """Digits in headers that are no ASCII digits, or too many of them."""
 
