A node that drains serves the connections that wait to be accepted

What callers saw: a connection that opens, takes the request and is reset without an answer, from a node that is told to stop.

Closing a listening socket resets what the kernel has accepted and the process has not; its callers have been told that the connection is open, and may have sent. Under load an iteration of the event loop takes milliseconds, in which connections gather.

Ruled out: idle connections that the drain closes (the request is on none, and the drain had just begun to close them); a kill (none at that time on that host).

Change: the port accepts what waits and hands it to the server, then closes, in one step of the event loop. What remains is the time between two system calls. The port between nodes needs no such step: a peer sends calls only once the other side has answered its hello.

--- a/caperstack/callers/port.py
+++ b/caperstack/callers/port.py
@@ -1,11 +1,13 @@
 """The HTTP port for callers, based on tornado's HTTP server."""
 
 import asyncio
+import itertools
 import socket
 from dataclasses import dataclass
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPServerConnectionDelegate
+from tornado.iostream import IOStream
 from tornado.netutil import bind_sockets
 
 from caperstack.addresses import split_address
@@ -37,6 +39,9 @@
 MAX_KEY_CHARACTERS = 255
 MAX_DEPTH = 64
 
+#: Connections that the kernel holds until they are accepted.
+BACKLOG = 1024
+
 #: Interval between checks for idle connections and incomplete requests, in seconds.
 SWEEP_SECONDS = 1.0
 
@@ -85,6 +90,7 @@
         self._splitter = Splitter()
         self._wait_estimator = WaitEstimator()
         self._server = None
+        self._sockets = []
         self._body_bytes = 0
         self.limits = here.limits
         self.exchanges = set()
@@ -126,11 +132,11 @@
             max_body_size=DISCARD_BYTES,
         )
         ip, port = split_address(self._here.caller_address)
-        sockets = bind_sockets(port, ip, backlog=1024)
-        for listening in sockets:
+        self._sockets = bind_sockets(port, ip, backlog=BACKLOG)
+        for listening in self._sockets:
             # Accepted connections inherit the option.
             listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_BYTES)
-        self._server.add_sockets(sockets)
+        self._server.add_sockets(self._sockets)
         self.metrics.gauge(
             "unread_answers", "answers that callers have not read", lambda: len(self.unread)
         )
@@ -152,8 +158,18 @@
         self.draining = True
 
     def stop_listening(self):
-        """Accept no new connections; open ones still get responses and are asked to close."""
+        """Accept no new connections; open ones still get responses and are asked to close.
+
+        Notes
+        -----
+        To close a socket resets the connections that wait to be accepted there, on which
+        callers may have sent requests.  They are therefore accepted first.
+        """
         self.draining = True
+        sockets, self._sockets = self._sockets, []
+        for connection, address in itertools.chain.from_iterable(map(_waiting, sockets)):
+            stream = IOStream(connection, max_buffer_size=DISCARD_BYTES)
+            self._server.handle_stream(stream, address)
         self._server.stop()
 
     def give_up(self):
@@ -392,6 +408,17 @@
         """Do nothing; tornado notifies each `Exchange` of the close."""
 
 
+def _waiting(listening):
+    """Accept the connections that wait at a non-blocking socket, with their addresses."""
+    for _ in range(BACKLOG):
+        try:
+            yield listening.accept()
+        except BlockingIOError:
+            return
+        except ConnectionAbortedError:
+            continue
+
+
 def _depth(headers):
     given = headers.get(DEPTH, "0")
     if not is_whole_number(given) or int(given) > MAX_DEPTH:
