Names and docstrings of the last changes that a newcomer could not read

Cause: read as a newcomer: _limits_more and _waiting did not say what they do, nor which rate the argument is.

--- a/caperstack/callers/port.py
+++ b/caperstack/callers/port.py
@@ -162,12 +162,12 @@
 
         Notes
         -----
-        To close a socket resets the connections that wait to be accepted there, on which
+        Closing a listening socket resets the connections that wait to be accepted, on which
         callers may have sent requests.  They are therefore accepted first.
         """
         self.draining = True
         sockets, self._sockets = self._sockets, []
-        for connection, address in itertools.chain.from_iterable(map(_waiting, sockets)):
+        for connection, address in itertools.chain.from_iterable(map(_accept_waiting, sockets)):
             stream = IOStream(connection, max_buffer_size=DISCARD_BYTES)
             self._server.handle_stream(stream, address)
         self._server.stop()
@@ -408,8 +408,8 @@
         """Do nothing; tornado notifies each `Exchange` of the close."""
 
 
-def _waiting(listening):
-    """Accept the connections that wait at a non-blocking socket, with their addresses."""
+def _accept_waiting(listening):
+    """Yield each connection that waits at a non-blocking socket, and its address."""
     for _ in range(BACKLOG):
         try:
             yield listening.accept()
--- a/caperstack/callers/tests/test_listening.py
+++ b/caperstack/callers/tests/test_listening.py
@@ -7,7 +7,7 @@
 
 
 class TestStopListening(PortCase):
-    """Callers that connect around the moment in which the port stops to listen."""
+    """Callers that connect at the moment when the port stops listening."""
 
     def connect_unaccepted(self):
         """Connect and send a request; the event loop can't accept the connection meanwhile."""
@@ -18,7 +18,7 @@
         return sock
 
     async def test_connections_that_wait_to_be_accepted_are_served(self):
-        """Guards against callers that are reset without an answer since the node drains."""
+        """Guards against callers that are reset without an answer because the node drains."""
         callers = [self.connect_unaccepted() for _ in range(20)]
         self.port.stop_listening()
         for sock in callers:
--- a/caperstack/routing/dispatch.py
+++ b/caperstack/routing/dispatch.py
@@ -123,7 +123,7 @@
                 # No server received the call.  If it was to queue at the best member, this
                 # is final, unless that member has begun to leave, drain or limit its
                 # requests meanwhile, which says nothing about the others.
-                if last and not (member.leaving or self._limits_more(member, rate_limit)):
+                if last and not (member.leaving or self._has_lowered_rate(member, rate_limit)):
                     return best
                 attempts.give_back()
                 refusals += 1
@@ -136,8 +136,12 @@
             self._members.unavailable_reason(call.service), NO_SERVER_RETRY_SECONDS
         )
 
-    def _limits_more(self, member, rate_limit):
-        """Return whether `member` has stated a rate below `rate_limit`, its former one."""
+    def _has_lowered_rate(self, member, rate_limit):
+        """Return whether the server of `member` has stated a rate, or a lower one, by now.
+
+        `rate_limit` is the rate known when the call was sent, in requests per 1000 seconds; 0
+        if none was stated.
+        """
         member.owner.freshen(member.estimate)
         current = member.estimate.rate_limit
         return current > 0 and (rate_limit == 0 or current < rate_limit)
