A status that HTTP does not have is no answer

What callers saw: a backend server in trouble sent the status 000. Its caller got `HTTP/1.1 0 OK` with the server's body and seal: bytes that are no answer.

Cause: tornado takes any three digits for a status, and nothing after it looked at the number. So 000 to 099 and 600 to 999 were answers, their heads changed what the node believes of the server, and with the mark of a refusal they proved that a request had not run.

Evidence: a stand-in sends such heads to a request and to a health check. Other breaks of the status (two or four digits, none, letters, a sign) were refused before; their test is kept.

Ruled out: a check only where answers leave for callers, as health checks and reports are read on the same path.

Change: the head is checked as it is read, before its report is used, against the statuses 100 to 599 of RFC 9110, section 15. Any other ends the exchange and its connection; the call is unknown (502), a health check has failed. Unknown statuses within the range are answers as before.

--- a/caperstack/backend/collector.py
+++ b/caperstack/backend/collector.py
@@ -11,6 +11,9 @@
 
 SUCCESS_STATUSES = range(200, 300)
 
+#: Statuses of HTTP.  A status line with any other three digits is no response.
+STATUSES = range(100, 600)
+
 #: Statuses of interim responses, which precede the response proper.
 INTERIM_STATUSES = range(100, 200)
 
@@ -92,9 +95,14 @@
         Notes
         -----
         A late response to an earlier request shows the load and the statements of an
-        earlier time; without a rate limit it would withdraw the present one.
+        earlier time; without a rate limit it would withdraw the present one.  A head that
+        is none of HTTP/1.1 shows nothing.
         """
         self.start = start_line
+        flaw = _flaw(start_line)
+        if flaw:
+            self.abort(flaw)
+            return
         if start_line.code in INTERIM_STATUSES:
             return
         self.headers = headers
@@ -157,3 +165,15 @@
         """Return the response as an `Answered` outcome."""
         headers = list(self.headers.get_all())
         return Answered(self.start.code, self.start.reason, headers, bytes(self._body))
+
+
+def _flaw(start_line):
+    """Return why a head that tornado has parsed is none of HTTP/1.1; empty if it is one.
+
+    References
+    ----------
+    .. [1] RFC 9110, section 15.
+    """
+    if start_line.code not in STATUSES:
+        return f"status {start_line.code:03} is none of HTTP"
+    return ""
--- /dev/null
+++ b/caperstack/backend/tests/test_broken.py
@@ -0,0 +1,87 @@
+"""Tests of bytes that are no answer of HTTP/1.1, or an unusual one, on real sockets."""
+
+import unittest
+
+from caperstack.backend.client import BackendClient
+from caperstack.backend.tests.servers import RawServer
+from caperstack.backend.tests.test_unframed import make_call
+from caperstack.calls.dialect import Dialect
+from caperstack.clock import deadline_after
+from caperstack.exception import BackendError
+
+OK = b"HTTP/1.1 200 OK\r\n"
+BODY = b"Content-Length: 2\r\n\r\nok"
+
+
+def with_status(code):
+    """Return an answer with a status of these three digits."""
+    return b"HTTP/1.1 %s OK\r\nSlots: 1,2,3\r\nNot-Run: 1\r\n%s" % (code, BODY)
+
+
+class AnswerCase(unittest.IsolatedAsyncioTestCase):
+    """A client of a server that sends the bytes of `answer` and closes."""
+
+    async def asyncSetUp(self):
+        self.server = RawServer(self.reply)
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop)
+        self.reports = []
+        dialect = Dialect(
+            request_id="Id", not_executed="Not-Run", load="Slots", ends_with_connection=True
+        )
+        self.client = BackendClient(self.server.address, 10, 1024, dialect, self.reports.append)
+        self.addAsyncCleanup(self.client.stop)
+
+    async def reply(self, _server, _head, writer):
+        writer.write(self.answer)
+        writer.close()
+
+    def requests(self):
+        """Return what reads an answer: a request and a health check."""
+        return (
+            self.client.fetch(make_call()),
+            self.client.probe("/health", deadline_after(5.0)),
+        )
+
+    async def assert_no_answers(self, answers):
+        """Assert that none of the `answers`, by name, counts as one, or changes a belief."""
+        for name, self.answer in answers.items():
+            for request in self.requests():
+                with self.subTest(name, request=request.__name__):
+                    with self.assertRaises(BackendError) as caught:
+                        await request
+                    error = caught.exception
+                    self.assertTrue(error.sent and not error.unheard and not error.closed_here)
+                    self.assertEqual(self.reports, [])
+
+    async def assert_answers(self, answers, body=b"ok"):
+        """Assert that each of the `answers`, by name, is one."""
+        for name, self.answer in answers.items():
+            with self.subTest(name):
+                outcome = await self.client.fetch(make_call())
+                self.assertEqual(outcome.body, body)
+                self.assertTrue((await self.client.probe("/h", deadline_after(5.0))).healthy)
+
+
+class TestStatus(AnswerCase):
+    """Statuses of three digits."""
+
+    async def test_status_that_http_does_not_have_is_no_answer(self):
+        """Guards against a status such as 000 that is passed on, or taken for a refusal."""
+        codes = (b"000", b"001", b"099", b"600", b"999")
+        await self.assert_no_answers({code: with_status(code) for code in codes})
+
+    async def test_status_of_other_digits_is_no_answer(self):
+        """Guards against a status line whose status is no number of three digits."""
+        codes = (b"", b"20", b"2000", b"-20", b"2.0", b"2xx", b"\xb2\xb2\xb2")
+        await self.assert_no_answers({code: with_status(code) for code in codes})
+
+    async def test_unknown_statuses_of_http_are_answers(self):
+        for code in (200, 299, 399, 499, 599):
+            self.answer = b"HTTP/1.1 %d OK\r\n%s" % (code, BODY)
+            answer = await self.client.fetch(make_call())
+            self.assertEqual((answer.status, answer.body), (code, b"ok"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/caperstack/platform/standin/instance.py
+++ b/caperstack/platform/standin/instance.py
@@ -44,6 +44,9 @@
         Send responses without a length. With ``"whole"`` the connection is closed after
         the body, with ``"reset"`` it is reset in the middle of the body, and with ``"silent"``
         nothing follows the first part of the body and the connection stays open.
+    raw : bytes
+        Sent in place of the responses to requests that ran, if not empty, before the
+        connection is closed.
     endless : str
         Send responses without end, those of the health path too: ``"head"`` or ``"body"`` tells
         what does not end.
@@ -82,6 +85,7 @@
     lose_answers: bool = False
     extra_answers: bool = False
     unframed: str = ""
+    raw: bytes = b""
     endless: str = ""
     healthy: bool = True
     fatal: frozenset = frozenset()
@@ -261,6 +265,9 @@
         behaviour = self.behaviour
         if behaviour.lose_answers:
             request.connection.stream.close()
+        elif behaviour.raw:
+            request.connection.stream.write(behaviour.raw)
+            request.connection.stream.close()
         elif behaviour.unframed:
             self._write_unframed(request)
         else:
--- /dev/null
+++ b/caperstack/platform/tests/test_broken.py
@@ -0,0 +1,25 @@
+"""Real nodes beside backend servers that send bytes which are no answer."""
+
+from caperstack.platform.names import SERVER_SEAL_HEADER
+from caperstack.platform.tests.fleetcase import FleetCase
+
+SEALED = f"{SERVER_SEAL_HEADER}: 2\r\nContent-Length: 2\r\n\r\nok".encode()
+
+
+class TestBrokenAnswers(FleetCase):
+    """A backend server sends broken answers to requests, and sound ones to health checks."""
+
+    async def assert_not_passed_on(self, raw):
+        """Assert that callers at either end of a link are told of a failure, and nothing else."""
+        self.third.instance.behaviour.raw = raw
+        for host in (self.first, self.third):
+            name, reply = await self.fleet.ask(host, "/rates/a", "POST")
+            self.assertEqual((reply.code, self.fleet.runs(name)), (502, 1))
+            self.assertNotIn(SERVER_SEAL_HEADER, reply.headers)
+        self.third.instance.behaviour.raw = b""
+        _, reply = await self.fleet.ask(self.first, "/rates/a")
+        self.assertEqual((reply.code, reply.body), (200, b"whole answer"))
+
+    async def test_status_that_http_does_not_have_reaches_no_caller(self):
+        """Guards against a caller that gets the status 000 as an answer."""
+        await self.assert_not_passed_on(b"HTTP/1.1 000 OK\r\n" + SEALED)
