Tests: fields that the grammar does not allow are no answer

What callers saw: nothing; reported of other systems were field names with a blank or a control byte, passed on or with a body that was not the server's.

Checked here with stand-ins, on the client of backend servers (requests and health checks) and through real nodes: each byte that a name or a value can't hold, at the start, in the middle and at the end; blanks in the names of the length and of the transfer coding; lines without a name, without a colon, folded. Unusual names and values that the grammar allows stay answers.

--- a/caperstack/backend/tests/test_broken.py
+++ b/caperstack/backend/tests/test_broken.py
@@ -83,5 +83,50 @@
             self.assertEqual((answer.status, answer.body), (code, b"ok"))
 
 
+class TestFields(AnswerCase):
+    """Lines of the head after the first."""
+
+    #: Bytes that the name of a field can't hold: control bytes, blanks, separators, others.
+    NO_TOKEN = b'\0\x01\x08\t\x0b\x0c\r\x1b\x1f \x7f"(),/;<=>?@[\\]{}\x80\x85\xa0\xff'
+
+    #: Bytes that the value of a field can't hold: the control bytes but for the tab.
+    NO_VALUE = b"\0\x01\x08\x0b\x0c\r\x1b\x1f\x7f"
+
+    async def test_byte_that_a_name_cannot_hold_is_no_answer(self):
+        """Guards against a name with a blank or a control byte that is passed on or passed over."""
+        for byte in self.NO_TOKEN:
+            names = [name % byte for name in (b"X%cY", b"%cX", b"X%c")]
+            answers = {name: OK + name + b": 1\r\n" + BODY for name in names}
+            await self.assert_no_answers(answers)
+
+    async def test_blank_in_the_name_of_the_length_is_no_answer(self):
+        """Guards against a body that ends elsewhere, as its length is passed over."""
+        names = (b"Content-Length ", b" Content-Length", b"Content Length", b"Content-Length\t")
+        answers = {name: OK + name + b": 1\r\n\r\nok" for name in names}
+        coding = b"Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+        await self.assert_no_answers(answers | {b"coding": OK + coding})
+
+    async def test_line_without_a_name_is_no_answer(self):
+        """Guards against lines of a head that are passed over."""
+        lines = (b": 1", b"no colon", b"Folded: a\r\n b", b"\t")
+        await self.assert_no_answers({line: OK + line + b"\r\n" + BODY for line in lines})
+
+    async def test_byte_that_a_value_cannot_hold_is_no_answer(self):
+        """Guards against control bytes in the values that callers get."""
+        values = [b"a%cb" % byte for byte in self.NO_VALUE] + [b"a\r"]
+        await self.assert_no_answers({v: OK + b"X: " + v + b"\r\n" + BODY for v in values})
+
+    async def test_unusual_names_and_values_are_answers(self):
+        lines = (
+            b"!#$%&'*+-.^_`|~09aZ: 1",
+            b"X:",
+            b"X:1",
+            b"X: \t a \t b ",
+            b"X: \x80\xff",
+            b"X: :",
+        )
+        await self.assert_answers({line: OK + line + b"\r\n" + BODY for line in lines})
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/caperstack/platform/tests/test_broken.py
+++ b/caperstack/platform/tests/test_broken.py
@@ -23,3 +23,9 @@
     async def test_status_that_http_does_not_have_reaches_no_caller(self):
         """Guards against a caller that gets the status 000 as an answer."""
         await self.assert_not_passed_on(b"HTTP/1.1 000 OK\r\n" + SEALED)
+
+    async def test_blank_or_control_byte_in_the_name_of_a_field_reaches_no_caller(self):
+        """Guards against a head whose lines are passed on, or passed over, as they come."""
+        for line in (b"X Y: 1\r\n", b"Content-Length : 1\r\n", b"X\x01: 1\r\n"):
+            with self.subTest(line):
+                await self.assert_not_passed_on(b"HTTP/1.1 200 OK\r\n" + line + SEALED)
