A switch of protocols that was not asked for is no answer

What callers saw: after `101 Switching Protocols`, which no node asks for, what followed was read as HTTP and passed on as the answer.

Cause: tornado reads 101 like any interim answer and goes on with the next head. A node drops `Upgrade` from requests, so a server that switches all the same sends bytes of another protocol from there on; a message in them that looks like HTTP belongs to no request (RFC 9110, section 7.8).

Evidence: a stand-in sends 101 and then a whole answer.

Change: the head of 101 ends the exchange and its connection. tornado still reads the head that has arrived behind it, which is left alone.

--- a/caperstack/backend/collector.py
+++ b/caperstack/backend/collector.py
@@ -17,6 +17,9 @@
 #: Statuses of interim responses, which precede the response proper.
 INTERIM_STATUSES = range(100, 200)
 
+#: Status of a response after which the connection carries another protocol.
+SWITCHING_PROTOCOLS = 101
+
 #: Statuses of responses that have no body.
 BODYLESS_STATUSES = frozenset((204, 304))
 
@@ -98,6 +101,9 @@
         earlier time; without a rate limit it would withdraw the present one.  A head that
         is none of HTTP/1.1 shows nothing.
         """
+        if self.failure:
+            # tornado reads on from what has arrived after an interim head.
+            return
         self.start = start_line
         flaw = _flaw(start_line)
         if flaw:
@@ -172,8 +178,10 @@
 
     References
     ----------
-    .. [1] RFC 9110, section 15.
+    .. [1] RFC 9110, sections 7.8 and 15.
     """
     if start_line.code not in STATUSES:
         return f"status {start_line.code:03} is none of HTTP"
+    if start_line.code == SWITCHING_PROTOCOLS:
+        return "switch to a protocol that was not asked for"
     return ""
--- a/caperstack/backend/tests/test_broken.py
+++ b/caperstack/backend/tests/test_broken.py
@@ -128,5 +128,35 @@
         await self.assert_answers({line: OK + line + b"\r\n" + BODY for line in lines})
 
 
+class TestInterimAnswers(AnswerCase):
+    """Heads before the one of the answer."""
+
+    async def test_switch_of_protocols_is_no_answer(self):
+        """Guards against bytes of another protocol that are read as the answer."""
+        switch = b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"
+        await self.assert_no_answers({"alone": switch, "followed": switch + OK + BODY})
+
+    async def test_broken_interim_answer_makes_none_of_what_follows(self):
+        """Guards against an answer whose beginning was no HTTP."""
+        heads = (
+            b"HTTP/1.1 103 Early\r\nX Y: 1\r\n\r\n",
+            b"HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\nok",
+            b"HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"HTTP/1.1 10\r\n\r\n",
+            b"HTTP/1.1 000 Continue\r\n\r\n",
+            b"HTTP/2.0 100 Continue\r\n\r\n",
+        )
+        await self.assert_no_answers({head: head + OK + BODY for head in heads})
+
+    async def test_interim_answers_alone_are_no_answer(self):
+        """Guards against an interim answer that is passed on as the final one."""
+        await self.assert_no_answers({100: b"HTTP/1.1 100 Continue\r\n\r\n"})
+
+    async def test_answer_after_interim_ones_is_an_answer(self):
+        heads = b"HTTP/1.1 100 \r\n\r\n", b"HTTP/1.1 103 Early\r\nLink: x\r\n\r\n"
+        heads += b"HTTP/1.1 199 Unknown\r\n\r\n", b"HTTP/1.1 102 Processing\r\n\r\n" * 3
+        await self.assert_answers({head: head + OK + BODY for head in heads})
+
+
 if __name__ == "__main__":
     unittest.main()
