An answer of HTTP/1.0 with a transfer coding is no answer

What callers saw: an answer of HTTP/1.0 in chunks was passed on as whole.

Cause: HTTP/1.0 has no transfer coding, so a part of the way that speaks it would end the body elsewhere; RFC 9112, section 6.1, has the framing treated as faulty. tornado reads such a body as chunks whatever the version.

Change: such a head ends the exchange and its connection.

--- a/caperstack/backend/collector.py
+++ b/caperstack/backend/collector.py
@@ -105,7 +105,7 @@
             # tornado reads on from what has arrived after an interim head.
             return
         self.start = start_line
-        flaw = _flaw(start_line)
+        flaw = _flaw(start_line, headers)
         if flaw:
             self.abort(flaw)
             return
@@ -173,15 +173,17 @@
         return Answered(self.start.code, self.start.reason, headers, bytes(self._body))
 
 
-def _flaw(start_line):
+def _flaw(start_line, headers):
     """Return why a head that tornado has parsed is none of HTTP/1.1; empty if it is one.
 
     References
     ----------
-    .. [1] RFC 9110, sections 7.8 and 15.
+    .. [1] RFC 9110, sections 7.8 and 15; RFC 9112, section 6.1.
     """
     if start_line.code not in STATUSES:
         return f"status {start_line.code:03} is none of HTTP"
     if start_line.code == SWITCHING_PROTOCOLS:
         return "switch to a protocol that was not asked for"
+    if start_line.version == "HTTP/1.0" and "Transfer-Encoding" in headers:
+        return "transfer coding of a version that has none"
     return ""
--- a/caperstack/backend/tests/test_broken.py
+++ b/caperstack/backend/tests/test_broken.py
@@ -83,6 +83,27 @@
             self.assertEqual((answer.status, answer.body), (code, b"ok"))
 
 
+class TestVersion(AnswerCase):
+    """The version of HTTP at the beginning of the head."""
+
+    async def test_another_protocol_is_no_answer(self):
+        """Guards against a message of another version, or of none, that is read as HTTP/1."""
+        versions = (b"HTTP/0.9", b"HTTP/2.0", b"HTTP/1", b"HTTP/1.", b"HTTP/1.10", b"HTTP/01.1")
+        versions += (b"http/1.1", b"HTTP 1.1", b"ICY", b"", b"xHTTP/1.1", b" HTTP/1.1", b"HTTP/1.x")
+        await self.assert_no_answers({v: v + b" 200 OK\r\n" + BODY for v in versions})
+
+    async def test_later_minor_version_is_an_answer(self):
+        await self.assert_answers(
+            {v: v + b" 200 OK\r\n" + BODY for v in (b"HTTP/1.0", b"HTTP/1.9")}
+        )
+
+    async def test_coding_that_the_version_does_not_have_is_no_answer(self):
+        """Guards against a body whose end two readers would find in different places."""
+        coded = b" 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+        await self.assert_no_answers({"of 1.0": b"HTTP/1.0" + coded})
+        await self.assert_answers({"of 1.1": b"HTTP/1.1" + coded})
+
+
 class TestFields(AnswerCase):
     """Lines of the head after the first."""
 
