An answer whose reason is empty is passed on, and breaks no link

What callers saw: a backend server answered `HTTP/1.1 200 ` with no reason, as the grammar allows. Its own host passed on the status line "HTTP/1.1 200 None"; callers at other hosts got 502, "connection to the owner was lost", and so did every other call that was in progress on that link between the two nodes.

Cause: tornado gives `None` for an empty reason. It was written as text towards callers. Towards peers it went as nil where the message has a string, so the receiver dropped the whole connection as one of invalid frames.

Reasons with control bytes, and status lines with other blanks, were refused before; their test is kept, as is one of unusual reasons.

Change: an empty reason is an empty string from where the answer is read.

--- a/caperstack/backend/collector.py
+++ b/caperstack/backend/collector.py
@@ -170,7 +170,8 @@
     def answer(self):
         """Return the response as an `Answered` outcome."""
         headers = list(self.headers.get_all())
-        return Answered(self.start.code, self.start.reason, headers, bytes(self._body))
+        # tornado gives no text for a reason that is empty.
+        return Answered(self.start.code, self.start.reason or "", headers, bytes(self._body))
 
 
 def _flaw(start_line, headers):
--- a/caperstack/backend/tests/test_broken.py
+++ b/caperstack/backend/tests/test_broken.py
@@ -104,6 +104,25 @@
         await self.assert_answers({"of 1.1": b"HTTP/1.1" + coded})
 
 
+class TestReason(AnswerCase):
+    """The reason at the end of the status line."""
+
+    async def test_byte_that_a_reason_cannot_hold_is_no_answer(self):
+        """Guards against control bytes in the status line that callers get."""
+        lines = {b"HTTP/1.1 200 O%cK" % byte for byte in TestFields.NO_VALUE}
+        lines |= {b"HTTP/1.1 200", b"HTTP/1.1 200\tOK", b"HTTP/1.1  200 OK", b"HTTP/1.1 200OK"}
+        await self.assert_no_answers({line: line + b"\r\n" + BODY for line in lines})
+
+    async def test_reason_that_is_empty_stays_empty(self):
+        """Guards against a status line that says "None"."""
+        self.answer = b"HTTP/1.1 200 \r\n" + BODY
+        self.assertEqual((await self.client.fetch(make_call())).reason, "")
+
+    async def test_unusual_reasons_are_answers(self):
+        reasons = (b"", b" ", b"a\tb", b"\x80\xff", b"200 OK: yes", b"x" * 1000)
+        await self.assert_answers({r: b"HTTP/1.1 200 " + r + b"\r\n" + BODY for r in reasons})
+
+
 class TestFields(AnswerCase):
     """Lines of the head after the first."""
 
--- a/caperstack/platform/tests/test_broken.py
+++ b/caperstack/platform/tests/test_broken.py
@@ -29,3 +29,15 @@
         for line in (b"X Y: 1\r\n", b"Content-Length : 1\r\n", b"X\x01: 1\r\n"):
             with self.subTest(line):
                 await self.assert_not_passed_on(b"HTTP/1.1 200 OK\r\n" + line + SEALED)
+
+
+class TestUnusualAnswers(FleetCase):
+    """A backend server sends answers that few servers send, but that the grammar allows."""
+
+    async def test_answer_without_a_reason_is_passed_on(self):
+        """Guards against a link between nodes, or a status line, that an empty reason breaks."""
+        self.third.instance.behaviour.raw = b"HTTP/1.1 200 \r\n" + SEALED
+        for host in (self.first, self.third):
+            _, reply = await self.fleet.ask(host, "/rates/a", "POST")
+            # The caller's library puts its own text for an empty reason.
+            self.assertEqual((reply.code, reply.body, reply.reason), (200, b"ok", "OK"))
