A head whose framing is unclear changes no belief, and is no answer without a body

What callers saw: a 304 or an answer to HEAD was passed on whatever its lengths and transfer codings said. Other answers of unclear framing were refused, but only after their head had told the node a load, a rate limit or a state, so that later calls were placed by what a broken head said.

Cause: tornado looks at the framing when it begins to read a body. That is after the head was handed over, and never where no body follows.

Evidence: a stand-in sends lengths that differ or are no number, both a length and a coding, unknown codings, and bodies that 204 excludes, to requests and to health checks.

What a head without a body says of a coding is left alone, as it tells what a body would have had (RFC 9112, section 6.1). A length of more digits than a number has is "too large" like every other; it was "no answer".

--- a/caperstack/backend/collector.py
+++ b/caperstack/backend/collector.py
@@ -4,25 +4,19 @@
 
 from tornado.httputil import HTTPMessageDelegate
 
-from caperstack.calls.dialect import ServerReport, is_whole_number
+from caperstack.backend.grammar import (
+    BODYLESS_STATUSES,
+    INTERIM_STATUSES,
+    declared_length,
+    head_flaw,
+)
+from caperstack.calls.dialect import ServerReport
 from caperstack.calls.model import Answered
 
 __all__ = ["ExpectedResponse", "ResponseCollector"]
 
 SUCCESS_STATUSES = range(200, 300)
 
-#: Statuses of HTTP.  A status line with any other three digits is no response.
-STATUSES = range(100, 600)
-
-#: Statuses of interim responses, which precede the response proper.
-INTERIM_STATUSES = range(100, 200)
-
-#: Status of a response after which the connection carries another protocol.
-SWITCHING_PROTOCOLS = 101
-
-#: Statuses of responses that have no body.
-BODYLESS_STATUSES = frozenset((204, 304))
-
 
 @dataclass(frozen=True, slots=True)
 class ExpectedResponse:
@@ -105,7 +99,7 @@
             # tornado reads on from what has arrived after an interim head.
             return
         self.start = start_line
-        flaw = _flaw(start_line, headers)
+        flaw = head_flaw(start_line, headers, self.has_body)
         if flaw:
             self.abort(flaw)
             return
@@ -126,7 +120,7 @@
         """Abort a response whose head shows that the awaited one will not be complete."""
         if not self.has_body:
             return
-        if self._declares_too_much():
+        if (declared_length(self.headers) or 0) > self._expected.max_bytes:
             self.abort("answer is too large")
         elif not self.framed and self.stale:
             # The awaited response cannot follow on this connection.
@@ -134,10 +128,6 @@
         elif not self.framed and not self._dialect.ends_with_connection:
             self.abort("answer without a length")
 
-    def _declares_too_much(self):
-        declared = self.headers.get("Content-Length", "")
-        return is_whole_number(declared) and int(declared) > self._expected.max_bytes
-
     def data_received(self, chunk):
         """Collect a part of the body, up to the limits on size and memory."""
         if self.failure:
@@ -172,19 +162,3 @@
         headers = list(self.headers.get_all())
         # tornado gives no text for a reason that is empty.
         return Answered(self.start.code, self.start.reason or "", headers, bytes(self._body))
-
-
-def _flaw(start_line, headers):
-    """Return why a head that tornado has parsed is none of HTTP/1.1; empty if it is one.
-
-    References
-    ----------
-    .. [1] RFC 9110, sections 7.8 and 15; RFC 9112, section 6.1.
-    """
-    if start_line.code not in STATUSES:
-        return f"status {start_line.code:03} is none of HTTP"
-    if start_line.code == SWITCHING_PROTOCOLS:
-        return "switch to a protocol that was not asked for"
-    if start_line.version == "HTTP/1.0" and "Transfer-Encoding" in headers:
-        return "transfer coding of a version that has none"
-    return ""
--- /dev/null
+++ b/caperstack/backend/grammar.py
@@ -0,0 +1,94 @@
+"""Check heads of responses against the grammar of HTTP/1.1, where tornado does not.
+
+tornado checks the form of the status line and of each field as it parses a head, and the
+framing only as it begins to read a body.
+
+References
+----------
+.. [1] RFC 9110, sections 7.8, 8.6 and 15.
+.. [2] RFC 9112, sections 6.1 to 6.3.
+"""
+
+import math
+import re
+
+__all__ = ["BODYLESS_STATUSES", "INTERIM_STATUSES", "declared_length", "head_flaw"]
+
+#: Statuses of HTTP.  A status line with any other three digits is no response.
+STATUSES = range(100, 600)
+
+#: Statuses of interim responses, which precede the response proper.
+INTERIM_STATUSES = range(100, 200)
+
+#: Status of a response after which the connection carries another protocol.
+SWITCHING_PROTOCOLS = 101
+
+NO_CONTENT = 204
+
+#: Statuses of responses that have no body.
+BODYLESS_STATUSES = frozenset((NO_CONTENT, 304))
+
+LENGTH = "Content-Length"
+CODING = "Transfer-Encoding"
+
+#: A length, or a list of lengths, as intermediaries make it of a field that occurs twice.
+LENGTHS_PATTERN = re.compile(r"([0-9]+)(?:[ \t]*,[ \t]*\1)*")
+
+#: Number of digits beyond which a length is larger than any body, without leading zeros.
+MAX_DIGITS = 18
+
+
+def head_flaw(start_line, headers, has_body):
+    """Return why a parsed head is none of HTTP/1.1; empty if it is one.
+
+    Parameters
+    ----------
+    start_line : tornado.httputil.ResponseStartLine
+        The status line.
+    headers : tornado.httputil.HTTPHeaders
+        The fields.
+    has_body : bool
+        Whether a body follows a head with this status.
+    """
+    return next(_flaws(start_line, headers, has_body), "")
+
+
+def _flaws(start_line, headers, has_body):
+    code = start_line.code
+    if code not in STATUSES:
+        yield f"status {code:03} is none of HTTP"
+    if code == SWITCHING_PROTOCOLS:
+        yield "switch to a protocol that was not asked for"
+    if LENGTH in headers:
+        if not LENGTHS_PATTERN.fullmatch(headers[LENGTH]):
+            yield "length is unclear"
+        elif code == NO_CONTENT and declared_length(headers):
+            yield "length of a body that the status excludes"
+    if CODING in headers:
+        yield from _coding_flaws(start_line, headers, has_body)
+
+
+def _coding_flaws(start_line, headers, has_body):
+    if start_line.version == "HTTP/1.0":
+        yield "transfer coding of a version that has none"
+    if start_line.code == NO_CONTENT:
+        yield "transfer coding of a body that the status excludes"
+    if LENGTH in headers:
+        yield "both a length and a transfer coding"
+    if has_body and headers[CODING].lower() != "chunked":
+        yield "transfer coding that was not asked for"
+
+
+def declared_length(headers):
+    """Return the length that a head without a flaw declares, in bytes; ``None`` if it has none.
+
+    Returns
+    -------
+    int, float or None
+        Infinity for a number of too many digits.
+    """
+    match = LENGTHS_PATTERN.fullmatch(headers.get(LENGTH, ""))
+    if match is None:
+        return None
+    digits = match[1].lstrip("0")
+    return int(digits or "0") if len(digits) <= MAX_DIGITS else math.inf
--- a/caperstack/backend/tests/test_broken.py
+++ b/caperstack/backend/tests/test_broken.py
@@ -48,6 +48,7 @@
         for name, self.answer in answers.items():
             for request in self.requests():
                 with self.subTest(name, request=request.__name__):
+                    self.reports.clear()
                     with self.assertRaises(BackendError) as caught:
                         await request
                     error = caught.exception
@@ -168,6 +169,79 @@
         await self.assert_answers({line: OK + line + b"\r\n" + BODY for line in lines})
 
 
+class TestFraming(AnswerCase):
+    """What tells where the body ends."""
+
+    CHUNKED = b"Transfer-Encoding: chunked\r\n"
+
+    #: Fields of which nobody can tell what they say.
+    UNCLEAR = (
+        b"Content-Length: 2\r\nContent-Length: 3\r\n",
+        b"Content-Length: 2, 3\r\n",
+        b"Content-Length: 2,\r\n",
+        b"Content-Length: +2\r\n",
+        b"Content-Length: -2\r\n",
+        b"Content-Length: 0x2\r\n",
+        b"Content-Length: 0_2\r\n",
+        b"Content-Length: 2 2\r\n",
+        b"Content-Length: 2.0\r\n",
+        b"Content-Length: \xb2\r\n",
+        b"Content-Length:\r\n",
+        b"Content-Length: 2\r\n" + CHUNKED,
+    )
+
+    #: Codings that no node asks for.
+    UNKNOWN_CODINGS = (
+        b"Transfer-Encoding: gzip\r\n",
+        b"Transfer-Encoding: gzip, chunked\r\n",
+        b"Transfer-Encoding: xchunked\r\n",
+        b"Transfer-Encoding:\r\n",
+        CHUNKED + CHUNKED,
+    )
+
+    async def test_head_with_unclear_framing_is_no_answer(self):
+        """Guards against a body with another end, and a belief from a head that was no answer."""
+        body = b"\r\n2\r\nok\r\n0\r\n\r\n"
+        heads = self.UNCLEAR + self.UNKNOWN_CODINGS
+        await self.assert_no_answers({head: OK + head + body for head in heads})
+
+    async def test_length_of_too_many_digits_is_too_large(self):
+        """Guards against a length that no library reads as a number."""
+        self.answer = OK + b"Content-Length: " + b"9" * 5000 + b"\r\n\r\nok"
+        for request in self.requests():
+            with self.assertRaisesRegex(BackendError, "answer is too large"):
+                await request
+
+    async def test_unclear_framing_of_an_answer_without_a_body_is_no_answer(self):
+        """Guards against a head that is passed on unread since no body follows it."""
+        no_change = b"HTTP/1.1 304 Not Modified\r\n"
+        answers = {head: no_change + head + b"\r\n" for head in self.UNCLEAR}
+        no_content = b"HTTP/1.1 204 No Content\r\n"
+        answers["length"] = no_content + BODY
+        answers["coding"] = no_content + self.CHUNKED + b"\r\n2\r\nok\r\n0\r\n\r\n"
+        await self.assert_no_answers(answers)
+
+    async def test_clear_framing_is_an_answer(self):
+        heads = (b"Content-Length: 2\r\n", b"Content-Length: 2, 2\r\n", b"content-length:002\r\n")
+        heads += (b"", b"Content-Length: 2\r\n" * 2)
+        await self.assert_answers({head: OK + head + b"\r\nok" for head in heads})
+        coding = b"transfer-encoding: Chunked \r\n\r\n"
+        sizes = (b"2", b"0002", b"0000000000000002")
+        chunks = {size: size + b"\r\nok\r\n0\r\n\r\n" for size in sizes}
+        chunks["two"] = b"1\r\no\r\n1\r\nk\r\n000\r\n\r\n"
+        await self.assert_answers({name: OK + coding + c for name, c in chunks.items()})
+
+    async def test_answer_without_a_body_is_an_answer(self):
+        for status, length in ((204, 0), (304, 0), (304, 7)):
+            self.answer = b"HTTP/1.1 %d OK\r\nContent-Length: %d\r\n\r\n" % (status, length)
+            answer = await self.client.fetch(make_call())
+            self.assertEqual((answer.status, answer.body), (status, b""))
+        for coding in (*self.UNKNOWN_CODINGS, self.CHUNKED):
+            # It tells what a body would have had.
+            self.answer = b"HTTP/1.1 304 Not Modified\r\n" + coding + b"\r\n"
+            self.assertEqual((await self.client.fetch(make_call())).status, 304)
+
+
 class TestInterimAnswers(AnswerCase):
     """Heads before the one of the answer."""
 
