Answers with chunk extensions or trailers are answers, unless these are broken

What callers saw: 502 for a whole answer in chunks, with an extension beside the size of a chunk or with trailers behind the last one. The request had run.

Cause: tornado takes the whole line before a chunk for its size, and refuses any line after the last chunk. The grammar has both (RFC 9112, section 7.1): a recipient passes over extensions that it does not know and may drop trailers.

Broken chunks, extensions and trailers were refused before, as everything of that kind was; their tests hold before and after.

Ruled out: to detach the stream from tornado's connection for such bodies, as its callback for a request that is still being written then fails.

Change: `caperstack.backend.chunks` replaces the method of tornado that reads chunks. Extensions and trailers without end join the tests of endless bytes, for requests and for health checks.

--- a/caperstack/backend/connection.py
+++ b/caperstack/backend/connection.py
@@ -4,10 +4,11 @@
 import socket
 import sys
 
-from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.http1connection import HTTP1ConnectionParameters
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
+from caperstack.backend.chunks import ResponseConnection
 from caperstack.backend.collector import ExpectedResponse, ResponseCollector
 from caperstack.backend.stream import BackendStream
 from caperstack.calls.dialect import is_whole_number
@@ -174,7 +175,7 @@
         parameters = HTTP1ConnectionParameters(
             max_header_size=MAX_HEADER_BYTES, max_body_size=sys.maxsize
         )
-        return HTTP1Connection(self._stream, True, parameters)
+        return ResponseConnection(self._stream, True, parameters)
 
     async def _collect(self, http, expected):
         self._stream.begin_response()
--- a/caperstack/backend/tests/servers.py
+++ b/caperstack/backend/tests/servers.py
@@ -63,7 +63,7 @@
         finally:
             self.open_connections -= 1
             writer.close()
-            with contextlib.suppress(ConnectionError):
+            with contextlib.suppress(ConnectionError, asyncio.CancelledError):
                 await writer.wait_closed()
 
 
--- a/caperstack/backend/tests/test_broken.py
+++ b/caperstack/backend/tests/test_broken.py
@@ -1,7 +1,9 @@
 """Tests of bytes that are no answer of HTTP/1.1, or an unusual one, on real sockets."""
 
+import asyncio
 import unittest
 
+from caperstack.backend.chunks import CHUNKS_PER_TURN
 from caperstack.backend.client import BackendClient
 from caperstack.backend.tests.servers import RawServer
 from caperstack.backend.tests.test_unframed import make_call
@@ -36,6 +38,9 @@
         writer.write(self.answer)
         writer.close()
 
+    async def reply_and_stay(self, _server, _head, writer):
+        writer.write(self.answer)
+
     def requests(self):
         """Return what reads an answer: a request and a health check."""
         return (
@@ -242,6 +247,83 @@
             self.assertEqual((await self.client.fetch(make_call())).status, 304)
 
 
+class TestChunks(AnswerCase):
+    """Bodies in chunks, with their extensions and trailers."""
+
+    HEAD = OK + TestFraming.CHUNKED + b"\r\n"
+    LAST = b"0\r\n\r\n"
+
+    async def test_broken_chunk_is_no_answer(self):
+        """Guards against a body that is passed on though its chunks do not fit."""
+        lines = (b"", b"+2", b"-2", b"0x2", b" 2", b"2 ", b"g", b"\xb2", b"2,", b"2\t", b"2 2")
+        chunks = {line: line + b"\r\nok\r\n" + self.LAST for line in lines}
+        chunks["longer"] = b"2\r\nokXX" + self.LAST
+        chunks["shorter"] = b"3\r\nok\r\n" + self.LAST
+        chunks["bare line ends"] = b"2\nok\n0\n\n"
+        chunks["no last one"] = b"2\r\nok\r\n"
+        chunks["cut after the last one"] = b"2\r\nok\r\n0\r\n"
+        await self.assert_no_answer_bodies(chunks)
+
+    async def test_broken_extension_is_no_answer(self):
+        """Guards against bytes beside a size that are passed over as they come."""
+        lines = (b"2;", b"2; ", b"2;=b", b"2;a=", b"2;a b", b"2;a\x01", b'2;a="b', b'2;a="\x01"')
+        lines += (b"2 a", b"2;a=b=c", b"2;a\rb", b"2;a=" + b"b" * 5000)
+        await self.assert_no_answer_bodies(
+            {line: line + b"\r\nok\r\n" + self.LAST for line in lines}
+        )
+
+    async def test_broken_trailer_is_no_answer(self):
+        """Guards against a body that looks whole though what ends it is no HTTP."""
+        lines = (b"X Y: 1", b"X : 1", b" X: 1", b"X\x01: 1", b"X: \0", b"X: a\rb", b"no colon")
+        lines += (b": 1", b"HTTP/1.1 200 OK", b"X: a\nY: b", b"X: " + b"a" * 5000)
+        trailers = {line: line + b"\r\n\r\n" for line in lines}
+        trailers["cut"] = b"X: y\r\n"
+        trailers["without end"] = b"X: y\r\n" * 20_000
+        await self.assert_no_answer_bodies(
+            {name: b"2\r\nok\r\n0\r\n" + trailer for name, trailer in trailers.items()}
+        )
+
+    async def assert_no_answer_bodies(self, bodies):
+        for name, body in bodies.items():
+            self.answer = self.HEAD + body
+            for request in self.requests():
+                with self.subTest(name, request=request.__name__):
+                    with self.assertRaises(BackendError) as caught:
+                        await request
+                    self.assertTrue(caught.exception.sent)
+                    self.assertFalse(caught.exception.closed_here)
+
+    async def test_extensions_and_trailers_belong_to_an_answer(self):
+        """Guards against whole answers that callers do not get for what is beside the body."""
+        bodies = {
+            "extension": b"2;a\r\nok\r\n" + self.LAST,
+            "extensions": b'1 ; a = b;c="d;\\" \xe9"\r\no\r\n1;e\r\nk\r\n0;f=g\r\n\r\n',
+            "trailer": b"2\r\nok\r\n0\r\nX: y\r\n\r\n",
+            "trailers": b"2\r\nok\r\n0\r\nX:\r\nX: \xe9\r\nContent-Length: 9\r\n\r\n",
+        }
+        await self.assert_answers({name: self.HEAD + body for name, body in bodies.items()})
+        self.answer = self.HEAD + bodies["trailers"]
+        self.assertEqual((await self.client.fetch(make_call())).headers, [])
+
+    async def test_connection_is_used_again_after_trailers(self):
+        self.server._reply = self.reply_and_stay
+        self.answer = self.HEAD + b"2;a\r\nok\r\n0\r\nX: y\r\n\r\n"
+        for _ in range(3):
+            self.assertEqual((await self.client.fetch(make_call())).body, b"ok")
+        self.assertEqual(self.client.opened, 1)
+
+    async def test_many_small_chunks_let_other_tasks_run(self):
+        """Guards against an event loop that one answer occupies."""
+        self.answer = self.HEAD + b"1\r\no\r\n" * 1000 + self.LAST
+        fetching = asyncio.create_task(self.client.fetch(make_call()))
+        turns = 0
+        while not fetching.done():
+            turns += 1
+            await asyncio.sleep(0)
+        self.assertEqual((await fetching).body, b"o" * 1000)
+        self.assertGreater(turns, 1000 // CHUNKS_PER_TURN)
+
+
 class TestInterimAnswers(AnswerCase):
     """Heads before the one of the answer."""
 
--- a/caperstack/backend/tests/test_endless.py
+++ b/caperstack/backend/tests/test_endless.py
@@ -39,6 +39,12 @@
     "body": (OK + b"\r\n", BLOCK, "answer is too large"),
     "chunks": (OK + b"Transfer-Encoding: chunked\r\n\r\n", CHUNK, "answer is too large"),
     "chunk length": (OK + b"Transfer-Encoding: chunked\r\n\r\n", b"1", "bytes are no answer"),
+    "chunk extension": (OK + b"Transfer-Encoding: chunked\r\n\r\n1;", b"a", "bytes are no answer"),
+    "trailers": (
+        OK + b"Transfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"Filler: x\r\n" * 400,
+        "bytes are no answer",
+    ),
     "body of a length": (OK + b"Content-Length: 1" + b"0" * 15 + b"\r\n\r\n", BLOCK, "too large"),
 }
 
