Answers that peers report are held to the grammar as well

What callers would see: while the nodes of a fleet are replaced, an owner of an earlier version still reports a status 000 as an answer, and the entry beside the caller passed it on. A field or a reason that the grammar does not allow would fail as the head is written, and the caller would be told nothing; that is read in the code (`Exchange._respond`), not seen in a run.

Cause: the entry took the status, the reason, the fields and the status of an unknown outcome from the message as they were.

Ruled out: bounds on the types of the message, since a frame that cannot be decoded closes the link, and with it every other call on it.

Change: a reply whose answer is none is an unknown outcome (502) of its call; an unknown outcome keeps its status only if that promises nothing. The checks live in `caperstack.calls.grammar`, where those of heads now are.

--- a/caperstack/backend/collector.py
+++ b/caperstack/backend/collector.py
@@ -4,13 +4,13 @@
 
 from tornado.httputil import HTTPMessageDelegate
 
-from caperstack.backend.grammar import (
+from caperstack.calls.dialect import ServerReport
+from caperstack.calls.grammar import (
     BODYLESS_STATUSES,
     INTERIM_STATUSES,
     declared_length,
     head_flaw,
 )
-from caperstack.calls.dialect import ServerReport
 from caperstack.calls.model import Answered
 
 __all__ = ["ExpectedResponse", "ResponseCollector"]
--- a/caperstack/backend/grammar.py
+++ b/caperstack/calls/grammar.py
@@ -1,18 +1,24 @@
-"""Check heads of responses against the grammar of HTTP/1.1, where tornado does not.
+"""Check responses against the grammar of HTTP/1.1, where tornado does not.
 
 tornado checks the form of the status line and of each field as it parses a head, and the
 framing only as it begins to read a body.
 
 References
 ----------
-.. [1] RFC 9110, sections 7.8, 8.6 and 15.
-.. [2] RFC 9112, sections 6.1 to 6.3.
+.. [1] RFC 9110, sections 5, 7.8, 8.6 and 15.
+.. [2] RFC 9112, sections 4 and 6.1 to 6.3.
 """
 
 import math
 import re
 
-__all__ = ["BODYLESS_STATUSES", "INTERIM_STATUSES", "declared_length", "head_flaw"]
+__all__ = [
+    "BODYLESS_STATUSES",
+    "INTERIM_STATUSES",
+    "answer_flaw",
+    "declared_length",
+    "head_flaw",
+]
 
 #: Statuses of HTTP.  A status line with any other three digits is no response.
 STATUSES = range(100, 600)
@@ -20,6 +26,9 @@
 #: Statuses of interim responses, which precede the response proper.
 INTERIM_STATUSES = range(100, 200)
 
+#: Statuses of responses proper.
+FINAL_STATUSES = range(200, 600)
+
 #: Status of a response after which the connection carries another protocol.
 SWITCHING_PROTOCOLS = 101
 
@@ -31,6 +40,10 @@
 LENGTH = "Content-Length"
 CODING = "Transfer-Encoding"
 
+#: What a field is called, and what its value and a reason consist of.
+NAME_PATTERN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+TEXT_PATTERN = re.compile(r"[\t -~\x80-\xff]*")
+
 #: A length, or a list of lengths, as intermediaries make it of a field that occurs twice.
 LENGTHS_PATTERN = re.compile(r"([0-9]+)(?:[ \t]*,[ \t]*\1)*")
 
@@ -92,3 +105,25 @@
         return None
     digits = match[1].lstrip("0")
     return int(digits or "0") if len(digits) <= MAX_DIGITS else math.inf
+
+
+def answer_flaw(status, reason, headers):
+    """Return why a response that another node has read is none; empty if it is one.
+
+    Parameters
+    ----------
+    status : int
+        The status.
+    reason : str
+        The reason.
+    headers : list of (str, str)
+        The fields.
+    """
+    if status not in FINAL_STATUSES:
+        return f"status {status:03} is none of an answer"
+    if not TEXT_PATTERN.fullmatch(reason):
+        return "reason with control bytes"
+    for name, value in headers:
+        if not NAME_PATTERN.fullmatch(name) or not TEXT_PATTERN.fullmatch(value):
+            return "field that the grammar does not allow"
+    return ""
--- a/caperstack/peers/translate.py
+++ b/caperstack/peers/translate.py
@@ -3,6 +3,7 @@
 from functools import singledispatch
 
 from caperstack.calls.fingerprint import Fingerprint
+from caperstack.calls.grammar import answer_flaw
 from caperstack.calls.model import Answered, Call, Load, NotRun, Unknown
 from caperstack.clock import now, time_left
 from caperstack.peers.messages import (
@@ -30,6 +31,10 @@
     "suspicion_message",
 ]
 
+#: Statuses that tell a caller that the outcome of its call is unknown; 503 promises that it
+#: did not run.
+UNKNOWN_STATUSES = frozenset((500, 502, 504))
+
 
 def load_report(load):
     """Return the `LoadReport` of a `Load`."""
@@ -199,13 +204,22 @@
 
 @singledispatch
 def outcome_from_reply(message, body):
-    """Return the outcome that a reply reports."""
+    """Return the outcome that a reply reports.
+
+    Notes
+    -----
+    While the nodes of a fleet are replaced, the owner may be of a version that passes on
+    what this one does not.  Its link stays open, as the other calls on it are not affected.
+    """
     raise TypeError(f"message does not report an outcome: {message!r}")
 
 
 @outcome_from_reply.register
 def _(message: Answer, body):
-    return Answered(message.status, message.reason, message.headers, body)
+    flaw = answer_flaw(message.status, message.reason, message.headers)
+    return (
+        Unknown(flaw) if flaw else Answered(message.status, message.reason, message.headers, body)
+    )
 
 
 @outcome_from_reply.register
@@ -215,6 +229,8 @@
 
 @outcome_from_reply.register
 def _(message: Unsure, body):
+    if message.status not in UNKNOWN_STATUSES:
+        return Unknown(message.reason, end=message.end)
     return Unknown(message.reason, message.status, message.end)
 
 
