A broken answer of the store no longer ends the task that reads it

What callers would see: calls that an old configuration allows, and servers that have left, until the node is restarted: its reading of the store had ended.

Cause: reads and watches go on after a `PlatformError`. Other exceptions ended their tasks, silently: a RecursionError for a document nested deeply in a field that nobody knows, a ValueError for an era of 5,000 digits, a ValueError for a redirect to a place that is no HTTP. Besides, tornado's client takes what follows a switch of protocols, and HTTP/1.0 in chunks.

Change: `caperstack.documents` gets documents over HTTP. The store's client uses it.

--- a/caperstack/platform/standin/store.py
+++ b/caperstack/platform/standin/store.py
@@ -32,6 +32,8 @@
         The connection is closed instead of a response.
     delay_seconds : float
         Delay of each response.
+    raw : bytes
+        Sent in place of each response, if not empty, before the connection is closed.
     """
 
     def __init__(self):
@@ -39,6 +41,7 @@
         self.silent = False
         self.cut = False
         self.delay_seconds = 0.0
+        self.raw = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,7 +198,8 @@
                 self.watching -= 1
         elif not status:
             status, document = self._read(request)
-        if document is None:
+        if document is None or faults.raw:
+            request.connection.stream.write(faults.raw)
             request.connection.stream.close()
             return
         body = json.dumps(document).encode()
--- a/caperstack/platform/store.py
+++ b/caperstack/platform/store.py
@@ -1,16 +1,15 @@
 """The read-only client of the platform's key-value store."""
 
-import asyncio
 import base64
 from dataclasses import dataclass
 from typing import Annotated
 from urllib.parse import urlencode
 
 import msgspec
-from tornado.httpclient import HTTPClientError
-from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
-from caperstack.clock import time_left
+from caperstack.calls.dialect import is_whole_number
+from caperstack.clock import deadline_after, time_left
+from caperstack.documents import SUCCESS, DocumentClient
 from caperstack.exception import HistoryError, PlatformError
 from caperstack.platform.names import STORE_ERA_HEADER
 from caperstack.settings.revisions import ERAS, NUMBERS, era_of, make_revision, number_of
@@ -141,7 +140,7 @@
     def __init__(self, address, metrics):
         self._address = address
         self._metrics = metrics
-        self._client = SimpleAsyncHTTPClient(force_instance=True, max_body_size=MAX_RESPONSE_BYTES)
+        self._client = DocumentClient(MAX_RESPONSE_BYTES)
 
     @property
     def address(self):
@@ -205,10 +204,7 @@
         wait = max(0.0, time_left(wait_until))
         query = urlencode({"prefix": prefix, "after": number_of(after), "waitMs": int(wait * 1000)})
         response = await self._get(f"/v1/kv-watch?{query}", wait + WATCH_GRACE_SECONDS)
-        try:
-            page = msgspec.json.decode(response.body, type=_Events)
-        except msgspec.MsgspecError as error:
-            raise PlatformError(str(error), step="watch", peer=self._address) from None
+        page = self._decode(response, _Events, "watch")
         era = self._era(response)
         if era != era_of(after):
             # After a restore the store assigns revisions again, so this answer lacks the
@@ -224,15 +220,18 @@
         if stale:
             query["staleOk"] = "1"
         response = await self._get(f"/v1/kv-range?{urlencode(query)}")
+        return self._decode(response, _Page, "page"), self._era(response)
+
+    def _decode(self, response, page_type, step):
         try:
-            return msgspec.json.decode(response.body, type=_Page), self._era(response)
-        except msgspec.MsgspecError as error:
-            raise PlatformError(str(error), step="page", peer=self._address) from None
+            return msgspec.json.decode(response.body, type=page_type)
+        except (msgspec.MsgspecError, RecursionError) as error:
+            raise PlatformError(str(error), step=step, peer=self._address) from None
 
     def _era(self, response):
         """Return the era in the header of an answer; 0 if the store sends none."""
         text = response.headers.get(STORE_ERA_HEADER, "0")
-        if not (text.isascii() and text.isdigit() and int(text) < ERAS):
+        if not is_whole_number(text) or int(text) >= ERAS:
             raise PlatformError(
                 f"{STORE_ERA_HEADER}: {text[:20]!r}", step="read", peer=self._address
             )
@@ -240,32 +239,19 @@
 
     async def _get(self, path, seconds=CALL_TIMEOUT_SECONDS):
         self._metrics.count("store_calls")
-        try:
-            request = self._client.fetch(
-                f"http://{self._address}{path}",
-                connect_timeout=CALL_TIMEOUT_SECONDS,
-                request_timeout=seconds,
-                decompress_response=False,
-            )
-            # Shielded: a cancelled call would write its failure to standard error, while an
-            # abandoned one ends by itself.
-            request.add_done_callback(_retrieve_exception)
-            response = await asyncio.shield(request)
-        except HTTPClientError as error:
-            reason = f"status {error.code}"
-            if error.code == HISTORY_GONE:
-                raise HistoryError(reason, step="watch", peer=self._address) from None
-            raise PlatformError(reason, step="read", peer=self._address) from None
-        except OSError as error:
-            raise PlatformError(str(error), step="read", peer=self._address) from None
+        response = await self._client.get(
+            self._address,
+            path,
+            deadline_after(seconds),
+            connect_until=deadline_after(CALL_TIMEOUT_SECONDS),
+        )
+        if response.status == HISTORY_GONE:
+            raise HistoryError("history is gone", step="watch", peer=self._address)
+        if response.status not in SUCCESS:
+            raise PlatformError(f"status {response.status}", step="read", peer=self._address)
         return response
 
 
-def _retrieve_exception(request):
-    if not request.cancelled():
-        request.exception()
-
-
 def _store_item(item, era):
     # A value that is not base64 must not fail the whole read; otherwise no node would learn of
     # changes to any other server as long as it is stored.
--- a/caperstack/platform/tests/test_watch.py
+++ b/caperstack/platform/tests/test_watch.py
@@ -83,6 +83,19 @@
         self.store.put(KEY, configuration(3, [], ["s"]))
         await self.until(lambda: self.version == 3)
 
+    async def test_watch_continues_after_an_answer_that_is_none(self):
+        """Guards against a node that follows no changes any more for one broken answer."""
+        nested = b'{"new": ' + b"[" * 200_000
+        nested = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(nested), nested)
+        for version, broken in enumerate((nested, b"\0\r\n\r\n"), 2):
+            self.faults.raw = broken
+            calls = self.store.calls
+            self.store.put("op/x", {})
+            await self.until(lambda calls=calls: self.store.calls > calls)
+            self.faults.raw = b""
+            self.store.put(KEY, configuration(version, [], ["s"]))
+            await self.until(lambda version=version: self.version == version)
+
     async def test_watch_backs_off_from_a_refusing_store(self):
         """With a store that answers 503 at once, the watch must not loop without a delay.
 
