Documents of the host list and of settings end no node, and are bounded

What callers would see: a node that does not start, or follows the host list no more, for one list that is nested deeply; a host without memory, and with it the calls of others that run there, for a list that does not end.

Cause: the reader of the host list passed on a RecursionError, which ended its task, or the start of the node. It used the HTTP client of tornado that all in a process share, whose limit is 100 MB; the reader of settings asked for a limit of 2 MB, which the shared client ignores as it exists already.

Change: host list, settings and health endpoints are read by `caperstack.documents`: a limit for each client (4 MiB for a list; one of 1,100 hosts has 150 kB), heads held to the grammar, one kind of error.

--- a/caperstack/backend/monitor.py
+++ b/caperstack/backend/monitor.py
@@ -1,13 +1,12 @@
 """Poll the health and load endpoints of the backend server at a fixed rate."""
 
 import asyncio
-import json
 import random
 
-from tornado.httpclient import AsyncHTTPClient
-
 from caperstack.calls.model import ServerState
 from caperstack.clock import deadline_after, now
+from caperstack.documents import SUCCESS, DocumentClient, decode_json
+from caperstack.exception import PlatformError
 
 __all__ = ["BackendMonitor"]
 
@@ -66,8 +65,7 @@
         self._task.cancel()
 
     async def _read_forever(self):
-        # An instance of its own, as the shared one has the limits of whoever used it first.
-        client = AsyncHTTPClient(force_instance=True, max_body_size=MAX_DOCUMENT_BYTES)
+        client = DocumentClient(MAX_DOCUMENT_BYTES)
         backend = self._here.backend
         load_next = False
         while True:
@@ -88,13 +86,14 @@
 
     async def _read(self, client, path):
         self._metrics.count("measuring_requests")
-        url = f"http://{self._here.backend.address}{path}"
+        address = self._here.backend.address
         try:
-            response = await client.fetch(url, request_timeout=REQUEST_SECONDS)
-            document = json.loads(response.body)
-        except Exception as error:
-            # The kind of error does not matter: each counts as one failed request.
-            self._metrics.count("measuring_failures", kind=type(error).__name__)
+            response = await client.get(address, path, deadline_after(REQUEST_SECONDS))
+            if response.status not in SUCCESS:
+                raise PlatformError(f"status {response.status}", step="read", peer=address)
+            document = decode_json(response.body, "health", address)
+        except PlatformError as error:
+            self._metrics.count("measuring_failures", kind=error.step)
             return None
         return document if isinstance(document, dict) else None
 
--- a/caperstack/membership/hostlist.py
+++ b/caperstack/membership/hostlist.py
@@ -1,19 +1,22 @@
 """Poll the platform's host list, which lags behind the actual state of the hosts."""
 
 import asyncio
-import json
 import random
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
-from tornado.httpclient import AsyncHTTPClient
 
 from caperstack.addresses import split_address
+from caperstack.clock import deadline_after
 from caperstack.config.start import validation_reason
+from caperstack.documents import DocumentClient, decode_json
 from caperstack.exception import PlatformError
 from caperstack.membership.members import HostEntry
 
 __all__ = ["HostListReader", "parse_host_list"]
 
+OK = 200
+NOT_MODIFIED = 304
+
 #: Interval between reads in a small fleet; the list itself lags by more than this.
 READ_INTERVAL_SECONDS = 1.0
 
@@ -22,6 +25,9 @@
 
 REQUEST_TIMEOUT_SECONDS = 2.0
 
+#: Maximum size of a list, in bytes; one of 1,100 hosts has 150 kB.
+MAX_LIST_BYTES = 4 * 1024 * 1024
+
 
 class _Host(BaseModel):
     model_config = ConfigDict(extra="ignore", frozen=True)
@@ -62,12 +68,10 @@
         If `body` is not a valid host list; ``peer`` names the invalid field.
     """
     try:
-        listed = _HostList.model_validate(json.loads(body))
+        listed = _HostList.model_validate(decode_json(body, "host list", ""))
     except ValidationError as error:
         field, reason = validation_reason(error)
         raise PlatformError(reason, step="host list", peer=field) from None
-    except ValueError as error:
-        raise PlatformError(f"not JSON: {error}", step="host list") from None
     return [
         HostEntry(h.host, h.zone, h.region, h.service, h.peer_address, h.state == "leaving")
         for h in listed.hosts
@@ -106,7 +110,7 @@
         self._metrics = kernel.find("metrics")
         if self._address is None:
             return
-        client = AsyncHTTPClient()
+        client = DocumentClient(MAX_LIST_BYTES)
         await self._try_to_read(client)
         self._task = asyncio.create_task(self._read_periodically(client))
 
@@ -130,20 +134,13 @@
     async def _read(self, client):
         self._metrics.count("host_list_reads")
         headers = {"If-None-Match": self._tag} if self._tag else {}
-        try:
-            response = await client.fetch(
-                f"http://{self._address}/hosts",
-                headers=headers,
-                request_timeout=REQUEST_TIMEOUT_SECONDS,
-                raise_error=False,
-            )
-        except Exception as error:
-            raise PlatformError(str(error), step="read", peer=self._address) from None
-        if response.code == 200:
+        deadline = deadline_after(REQUEST_TIMEOUT_SECONDS)
+        response = await client.get(self._address, "/hosts", deadline, headers)
+        if response.status == OK:
             self._members.apply_host_list(parse_host_list(response.body))
             self._tag = response.headers.get("Etag", "")
-        elif response.code != 304:
-            raise PlatformError(f"status {response.code}", step="read", peer=self._address)
+        elif response.status != NOT_MODIFIED:
+            raise PlatformError(f"status {response.status}", step="read", peer=self._address)
         self._report(True, "readable")
 
     def _report(self, readable, text):
--- a/caperstack/settings/reader.py
+++ b/caperstack/settings/reader.py
@@ -1,13 +1,11 @@
 """Read the platform's configuration service: readers watch it, others read it as a fallback."""
 
 import asyncio
-import json
 import random
 from urllib.parse import quote
 
-from tornado.httpclient import AsyncHTTPClient
-
-from caperstack.clock import deadline_after, now, time_left
+from caperstack.clock import deadline_after, now
+from caperstack.documents import SUCCESS, DocumentClient, decode_json
 from caperstack.exception import PlatformError
 from caperstack.settings.neighbours import Topology
 
@@ -75,7 +73,7 @@
             self._task.cancel()
 
     async def _read_loop(self):
-        client = AsyncHTTPClient(max_body_size=MAX_VALUE_BYTES)
+        client = DocumentClient(MAX_VALUE_BYTES)
         while True:
             try:
                 await self._read_once(client)
@@ -133,15 +131,10 @@
 
     async def _get(self, client, path, seconds):
         self._metrics.count("configuration_reads")
-        deadline = deadline_after(seconds)
-        try:
-            response = await client.fetch(
-                f"http://{self._address}{path}", request_timeout=time_left(deadline)
-            )
-            document = json.loads(response.body)
-        except Exception as error:
-            # Unreachable, slow or not JSON: in each case the settings held stay in force.
-            raise PlatformError(str(error), step="read", peer=self._address) from None
+        response = await client.get(self._address, path, deadline_after(seconds))
+        if response.status not in SUCCESS:
+            raise PlatformError(f"status {response.status}", step="read", peer=self._address)
+        document = decode_json(response.body, "read", self._address)
         if not isinstance(document, dict):
             raise PlatformError("not a JSON object", step="read", peer=self._address)
         return document
