A node that stops begins no call that could outlast it

What callers saw: after SIGTERM, requests on open connections were passed on until the end of the drain, among them bookings, and cut there: 504 at 5.2 s with their server at work. Others that had not run at all were told 504 as well.

Cause: the drain closed the port, and the owner refused new calls, 2.6 s after the signal. Nothing bounded what the entry still passed on to other owners.

Ways in that were found: connections that callers keep using, those that waited to be accepted, pipelined requests, bodies that come late (all of them requests that are whole late in the stop); repeats and hedges of earlier calls; calls that wait at the owner of another host, or for a link to it, when the stop begins. The owner's own queue is refused when the node leaves, as before. Besides, a node ended while a busy connection was just between two requests, as it counted requests and idle connections but not this.

Ruled out: to shorten the deadlines of late calls, as their callers' time is not over; to close connections after `Connection: close`, as a request may cross it; to serve late calls by their usual time of work, which a slow server breaks.

Change: once the port is closed, the dispatcher begins no call whose deadline is after the end of the drain, neither first nor again nor as a hedge: 503, "node stops", at once. Links send no such call any more and withdraw those that wait at their owners, by a new field of `Revoke`: an owner replies only if the backend server has not begun the call, so ready answers come as before; an owner of the former version replies in both cases. A request whose handling has not begun at the end is told 503, as it has not run. The node waits until its callers' connections are closed. What ends by its deadline is served to the last moment.

--- a/caperstack/admission/local.py
+++ b/caperstack/admission/local.py
@@ -28,6 +28,9 @@
         """Return the outcome of a call whose `run` was interrupted."""
         return await self._owner.revoke(call.origin, call.id, call.sent_at)
 
+    def end_by(self, _end_at):
+        """Do nothing, since the owner itself refuses the calls that wait when it leaves."""
+
     def touch(self):
         """Do nothing, since there is no connection to open."""
 
--- a/caperstack/admission/memory.py
+++ b/caperstack/admission/memory.py
@@ -98,6 +98,24 @@
             record.task.cancel()
         return await asyncio.shield(record.outcome)
 
+    async def withdraw(self, origin, number):
+        """Cancel a call that has not been dispatched.
+
+        Returns
+        -------
+        NotRun or None
+            The outcome, or ``None`` if the call reports its own: it has been dispatched, has
+            ended, or has not arrived and will be refused when it does.
+        """
+        record = self.find(origin, number)
+        if record is None:
+            self.revoke(origin, number)
+            return None
+        if record.dispatched or record.task is None or record.outcome.done():
+            return None
+        record.task.cancel()
+        return await asyncio.shield(record.outcome)
+
     def abandon(self, origin, number):
         """Cancel call `number` of host `origin`, whose answer nobody awaits."""
         record = self.find(origin, number)
--- a/caperstack/admission/owner.py
+++ b/caperstack/admission/owner.py
@@ -123,6 +123,13 @@
         """
         return await self._memory.resolve(origin, number, sent_at)
 
+    async def withdraw(self, origin, number):
+        """Cancel a call that has not been dispatched, and return its outcome, else ``None``.
+
+        See `caperstack.admission.memory.CallMemory.withdraw`.
+        """
+        return await self._memory.withdraw(origin, number)
+
     def abandon(self, origin, number):
         """Cancel call `number` of host `origin`, whose answer nobody awaits."""
         self._memory.abandon(origin, number)
--- a/caperstack/callers/exchange.py
+++ b/caperstack/callers/exchange.py
@@ -67,6 +67,7 @@
         self._reserved = 0
         self._responded = False
         self._task = None
+        self._begun = False
         self._unwritten = memoryview(b"")
         self.request_id = ""
         self.held_bytes = 0
@@ -121,10 +122,12 @@
         self._done()
 
     def give_up(self):
-        """Respond with an unknown outcome, because the process ends before the call."""
-        if self._task is not None and not self._responded:
-            self._task.cancel()
-            self._respond(response_to(Unknown("node stops", 504)), close=True)
+        """Respond now, because the process ends before the call."""
+        if self._task is None or self._responded:
+            return
+        self._task.cancel()
+        outcome = Unknown("node stops", 504) if self._begun else NotRun("node stops", 0.0)
+        self._respond(response_to(outcome, self._port.fractional_seconds), close=True)
 
     def expire(self):
         """Close the connection, which was idle, or its request incomplete, for too long."""
@@ -165,6 +168,7 @@
         self._respond(response_to(outcome, self._port.fractional_seconds), close=True, finish=False)
 
     async def _handle(self):
+        self._begun = True
         try:
             outcome, extra = await self._port.handle(
                 self._start, self._headers, b"".join(self._parts), self._connection.context
--- a/caperstack/callers/port.py
+++ b/caperstack/callers/port.py
@@ -124,7 +124,7 @@
         self._sync = kernel.find("settings sync")
         self._trees = kernel.find("call trees")
         self._claims = kernel.find("claims") if "claims" in kernel.names else None
-        self._server = HTTPServer(
+        self._server = _Server(
             _ConnectionDelegate(self),
             idle_connection_timeout=0,
             max_header_size=MAX_HEADER_BYTES,
@@ -219,7 +219,7 @@
         Returns
         -------
         int
-            Number of idle connections, open requests and unread responses that are left.
+            Number of open connections; each open request and unread response has one.
 
         Notes
         -----
@@ -233,7 +233,7 @@
         for exchange in [e for e in self.incomplete if moment - e.idle_since >= seconds]:
             if exchange not in self.exchanges:
                 exchange.expire()
-        return len(self.incomplete) + self.open_exchanges
+        return self._server.open_connections
 
     def reserve(self, size):
         """Reserve `size` bytes for a part of a body; return whether they are available."""
@@ -394,6 +394,31 @@
         return kept
 
 
+class _Server(HTTPServer):
+    """An HTTP server that counts its open connections.
+
+    Attributes
+    ----------
+    open_connections : int
+        Number of connections that neither side has closed.
+    """
+
+    def initialize(self, *arguments, **options):
+        """Initialize the server, as tornado does in place of a constructor."""
+        super().initialize(*arguments, **options)
+        self.open_connections = 0
+
+    def handle_stream(self, stream, address):
+        """Serve a connection that was accepted."""
+        self.open_connections += 1
+        super().handle_stream(stream, address)
+
+    def on_close(self, server_connection):
+        """Forget a connection that has been closed."""
+        self.open_connections -= 1
+        super().on_close(server_connection)
+
+
 class _ConnectionDelegate(HTTPServerConnectionDelegate):
     """Create an `Exchange` for each request that tornado's server receives."""
 
--- a/caperstack/node/drain.py
+++ b/caperstack/node/drain.py
@@ -27,7 +27,8 @@
     refuse_at : float
         From this time the owner refuses new calls.
     close_at : float
-        From this time the callers' port accepts no new connections.
+        From this time the callers' port accepts no new connections, and no call begins
+        whose deadline is after `end_at`.
     end_at : float
         At this time the wait ends; open requests get an unknown outcome.
     """
@@ -50,7 +51,9 @@
     Callers that learn of the drain from a health check keep sending until their
     next check.  Until ``plan.close_at`` the port accepts their connections, and until
     ``plan.refuse_at`` the owner accepts calls, since its backend server keeps
-    running and each second without it loses capacity.
+    running and each second without it loses capacity.  Callers on open connections may
+    send requests until the end: those that could outlast it are refused from
+    ``plan.close_at`` on.
     """
     owner = kernel.find("owner")
     callers = kernel.find("callers")
@@ -64,6 +67,7 @@
     notice_end = deadline_after(PEER_NOTICE_SECONDS)
     await _sleep_until(plan.close_at)
     callers.stop_listening()
+    kernel.find("dispatcher").end_by(plan.end_at)
     while now() < plan.end_at:
         connections = callers.close_idle(CONNECTION_IDLE_SECONDS)
         busy = connections or peers.calls or not owner.idle
--- a/caperstack/peers/link.py
+++ b/caperstack/peers/link.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import math
 import random
 from functools import singledispatchmethod
 
@@ -75,6 +76,7 @@
         self._awaiting_pong = False
         self._failures = 0
         self._retired = False
+        self._last_deadline = math.inf
 
     @property
     def retired(self):
@@ -141,6 +143,8 @@
             reached the owner.
         """
         connection = await self._open(call.deadline)
+        if call.deadline > self._last_deadline:
+            raise PeerError("node stops", step="call", peer=self._member.host, sent=False)
         future = self._expect(call.id)
         budget = self._links.budget
         estimate = self._member.estimate
@@ -180,8 +184,7 @@
         try:
             connection = await self._open(call.deadline)
             future = self._expect(call.id)
-            age = int((now() - call.sent_at) * 1e6)
-            connection.send(Revoke(call.id, True, age, int(now() * 1e6)))
+            connection.send(_revocation(call))
             async with asyncio.timeout_at(call.deadline):
                 message, body = await future
         except (PeerError, TimeoutError):
@@ -190,6 +193,16 @@
             self._pending.pop(call.id, None)
         return outcome_from_reply(message, body)
 
+    def end_by(self, end_at):
+        """Send no more calls whose deadline is after `end_at`, and withdraw those that wait.
+
+        The owner replies that a call did not run, unless the backend server runs it.
+        """
+        self._last_deadline = end_at
+        for call in self._calls.values():
+            if call.deadline > end_at:
+                self._send_if_connected(_revocation(call, waiting_only=True))
+
     async def ask(self, message, deadline):
         """Send a request message and return the reply, which has the same ``id``.
 
@@ -407,3 +420,10 @@
             self._links.members.mark_server_leaving(self._member.host, load.leaving_run)
         if load.state == ServerState.STOPPING:
             self._links.members.mark_leaving(self._member.host, self._member.incarnation)
+
+
+def _revocation(call, waiting_only=False):
+    """Return the message that revokes `call` and asks for its outcome."""
+    moment = now()
+    age = int((moment - call.sent_at) * 1e6)
+    return Revoke(call.id, True, age, int(moment * 1e6), waiting_only)
--- a/caperstack/peers/messages.py
+++ b/caperstack/peers/messages.py
@@ -188,13 +188,15 @@
 
     Without ``reply`` the owner cancels the call if it can and sends nothing back.
     ``age_us`` is the time since the call was sent, ``sent_us`` the sender's monotonic
-    clock when this message was sent.
+    clock when this message was sent.  With ``waiting_only`` the owner replies only if the
+    call has not been dispatched; its connection is open, so it gets the outcome anyway.
     """
 
     id: int
     reply: bool
     age_us: int = 0
     sent_us: int = 0
+    waiting_only: bool = False
 
 
 class Chunk(_MessageStruct, tag=7):
--- a/caperstack/peers/port.py
+++ b/caperstack/peers/port.py
@@ -246,7 +246,9 @@
     @_handle_message.register
     def _(self, message: Revoke, body, connection):
         origin = connection.hello.host
-        if message.reply:
+        if message.waiting_only:
+            self._spawn(self._withdraw(origin, message.id, connection))
+        elif message.reply:
             lateness = connection.transit.lateness(message.sent_us / 1e6, connection.arrival)
             sent_at = connection.arrival - lateness - message.age_us / 1e6
             self._spawn(self._resolve(origin, message.id, sent_at, connection))
@@ -297,6 +299,11 @@
         finally:
             self._calls -= 1
 
+    async def _withdraw(self, origin, number, connection):
+        outcome = await self._owner.withdraw(origin, number)
+        if outcome is not None:
+            await self._reply(number, outcome, connection)
+
     async def _reply(self, number, outcome, connection):
         report = self._record_and_report_load(connection)
         message, body = reply_for_outcome(outcome, number, report, self._events.clock.tick())
--- a/caperstack/routing/dispatch.py
+++ b/caperstack/routing/dispatch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import copy
+import math
 import random
 
 from caperstack.calls.model import Answered, NotRun, Unknown, call_ids
@@ -17,6 +18,9 @@
 #: HTTP statuses after which an idempotent call may be retried at another server.
 REPEATABLE_STATUSES = frozenset((500, 502, 503, 504))
 
+#: Reason for the refusal of calls that could still run when this node ends.
+STOPPING_REASON = "node stops"
+
 #: Retry-after time of a call for which there is no backend server, in seconds.
 NO_SERVER_RETRY_SECONDS = 1.0
 
@@ -34,6 +38,7 @@
         self._allowance = allowance
         self._call_ids = call_ids()
         self._services = {}
+        self._end_at = math.inf
         self.candidates = Candidates(here, rng or random.Random(), link)
 
     async def start(self, kernel):
@@ -53,8 +58,22 @@
     async def stop(self):
         """Do nothing; the dispatcher holds no resources."""
 
+    def end_by(self, end_at):
+        """Begin no more calls that may still run at `end_at`, when this node ends.
+
+        Notes
+        -----
+        A call that a backend server has not begun is refused: at its end the node would cut
+        it off, and its caller could not tell whether it ran.  Calls that run go on.
+        """
+        self._end_at = end_at
+        for member in self._members.all():
+            member.owner.end_by(end_at)
+
     async def dispatch(self, call):
         """Return the `Outcome` of `call`."""
+        if call.deadline > self._end_at:
+            return self._refuse_outlasting(call)
         settings = self._settings.service(call.service)
         state = self._state(call.service, settings.policy)
         state.assume_duration(call)
@@ -101,6 +120,8 @@
         failed = []
         best = None
         while time_left(call.deadline) > 0:
+            if call.deadline > self._end_at:
+                return best or self._refuse_outlasting(call)
             verdict = self._suspects.verdict(call.fingerprint)
             if verdict == Verdict.QUARANTINED:
                 return self._refuse_quarantined(call, best)
@@ -146,6 +167,17 @@
         current = member.estimate.rate_limit
         return current > 0 and (rate_limit == 0 or current < rate_limit)
 
+    def _refuse_outlasting(self, call):
+        """Return the outcome of a call that could still run when this node ends."""
+        self._metrics.count("stop_refusals", service=call.service)
+        self._events.refusal(
+            "entry refuses",
+            call,
+            STOPPING_REASON,
+            outlasts_ms=round((call.deadline - self._end_at) * 1000),
+        )
+        return NotRun(STOPPING_REASON, 0.0)
+
     def _refuse_quarantined(self, call, best):
         """Return the outcome of a call whose request is quarantined."""
         refusal = self._suspects.refusal(call)
@@ -278,7 +310,7 @@
         request that was running when a server crashed is never sent to two
         servers at once.
         """
-        if self._suspects.count(call.fingerprint):
+        if self._suspects.count(call.fingerprint) or call.deadline > self._end_at:
             return False
         if time_left(call.deadline) <= state.route_seconds(call.route) or not attempts.left:
             return False
--- a/caperstack/routing/tests/test_dispatch.py
+++ b/caperstack/routing/tests/test_dispatch.py
@@ -29,6 +29,7 @@
         self._resolved = resolved
         self.calls = []
         self.cancelled = 0
+        self.end_by_times = 0
         self.usable = True
 
     async def run(self, call):
@@ -50,6 +51,9 @@
     def freshen(self, estimate):
         pass
 
+    def end_by(self, _end_at):
+        self.end_by_times += 1
+
 
 class DispatcherFixture:
     """A dispatcher and members with fake owners."""
@@ -439,3 +443,62 @@
         fixture = DispatcherFixture(waits, other, zones="ab", refusals_per_call=0)
         self.assertEqual(fixture.dispatch(), OK_ANSWER)
         self.assertEqual((len(waits.calls), len(other.calls)), (1, 1))
+
+
+class TestEnd(unittest.TestCase):
+    """Calls of a node that ends at a known time."""
+
+    #: Time until the node ends, in seconds; calls wait for 5 s by default.
+    END_SECONDS = 1.0
+
+    def fixture(self, *owners, **settings):
+        fixture = DispatcherFixture(*owners, **settings)
+        fixture.known.find("me").owner = FakeOwner(NotRun("other service"))
+        fixture.end = lambda: fixture.dispatcher.end_by(deadline_after(self.END_SECONDS))
+        return fixture
+
+    def test_call_that_may_outlast_the_node_is_sent_to_no_owner(self):
+        """Guards against a call that is passed on and cut when the node ends."""
+        for idempotent in (False, True):
+            owner = FakeOwner(OK_ANSWER)
+            fixture = self.fixture(owner, hedge_share=0.1)
+            fixture.end()
+            outcome = fixture.dispatch(idempotent)
+            self.assertEqual((type(outcome), outcome.reason), (NotRun, "node stops"))
+            self.assertEqual((owner.calls, owner.end_by_times), ([], 1))
+
+    def test_call_that_ends_before_the_node_is_sent(self):
+        fixture = self.fixture(FakeOwner(OK_ANSWER))
+        fixture.end()
+        self.assertEqual(fixture.dispatch(seconds=self.END_SECONDS / 2), OK_ANSWER)
+
+    def test_call_is_not_sent_again_once_it_may_outlast_the_node(self):
+        """Guards against a repeat that begins late in a stop."""
+        for first in (NotRun("full"), Unknown("lost")):
+            self.assertIs(self.outcome_of_an_end_during(first), first)
+
+    def outcome_of_an_end_during(self, first):
+        """Return the outcome of a call whose first attempt ends so after the stop began."""
+
+        async def ends_meanwhile():
+            fixture.end()
+            return first
+
+        other = FakeOwner(OK_ANSWER)
+        fixture = self.fixture(FakeOwner(ends_meanwhile), other, retry_share=1.0)
+        outcome = fixture.dispatch(True)
+        self.assertEqual(other.calls, [])
+        return outcome
+
+    def test_no_hedge_is_sent_once_it_may_outlast_the_node(self):
+        """Guards against a second send that begins late in a stop."""
+
+        async def ends_meanwhile():
+            fixture.end()
+            await asyncio.sleep(0.3)
+            return OK_ANSWER
+
+        other = FakeOwner(OK_ANSWER)
+        fixture = self.fixture(FakeOwner(ends_meanwhile), other, hedge_share=0.5)
+        self.assertEqual(fixture.dispatch(True), OK_ANSWER)
+        self.assertEqual(other.calls, [])
