One odd entry of the host list does not hide the others

What callers would see: calls sent to hosts that have left, and none to new ones, as long as one odd entry is in the list: a port out of range, a number that is too large, a nested value.

Cause: the list was validated as a whole, so one invalid entry made all of it unreadable, and the members of the last valid list were kept.

Change: entries are validated one by one; invalid ones are left out, as in the platform's store, and told once in a `foreign entry` line that names the field.

--- a/caperstack/membership/hostlist.py
+++ b/caperstack/membership/hostlist.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from dataclasses import dataclass
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
 
@@ -12,7 +13,7 @@
 from caperstack.exception import PlatformError
 from caperstack.membership.members import HostEntry
 
-__all__ = ["HostListReader", "parse_host_list"]
+__all__ = ["HostList", "HostListReader", "parse_host_list"]
 
 OK = 200
 NOT_MODIFIED = 304
@@ -29,6 +30,11 @@
 MAX_LIST_BYTES = 4 * 1024 * 1024
 
 
+#: Maximum number of invalid entries that a log line names, and of characters for each.
+MAX_LOGGED_ERRORS = 5
+MAX_REASON_CHARACTERS = 200
+
+
 class _Host(BaseModel):
     model_config = ConfigDict(extra="ignore", frozen=True)
 
@@ -47,35 +53,64 @@
 
 
 class _HostList(BaseModel):
-    hosts: list[_Host]
+    hosts: list[object]
+
+
+@dataclass(frozen=True, slots=True)
+class HostList:
+    """The entries of a host list, and why others of its entries are invalid.
+
+    Attributes
+    ----------
+    entries : list of HostEntry
+        The valid entries.
+    errors : list of PlatformError
+        One for each invalid entry; ``peer`` names its first invalid field.
+    """
+
+    entries: list
+    errors: list
 
 
 def parse_host_list(body):
-    """Parse the JSON `body` of a host list.
+    """Parse the JSON `body` of a host list and return its `HostList`.
 
     Parameters
     ----------
     body : bytes or str
         The JSON document.
 
-    Returns
-    -------
-    list of HostEntry
-
     Raises
     ------
     PlatformError
-        If `body` is not a valid host list; ``peer`` names the invalid field.
+        If `body` is no host list; ``peer`` names the invalid field.
+
+    Notes
+    -----
+    An invalid entry, which another writer may have left, is no reason to follow the others
+    no more.
     """
     try:
         listed = _HostList.model_validate(decode_json(body, "host list", ""))
     except ValidationError as error:
-        field, reason = validation_reason(error)
-        raise PlatformError(reason, step="host list", peer=field) from None
-    return [
-        HostEntry(h.host, h.zone, h.region, h.service, h.peer_address, h.state == "leaving")
-        for h in listed.hosts
-    ]
+        raise _error(error) from None
+    result = HostList([], [])
+    for number, document in enumerate(listed.hosts):
+        try:
+            result.entries.append(_entry(_Host.model_validate(document)))
+        except ValidationError as error:
+            result.errors.append(_error(error, f"hosts.{number}."))
+    return result
+
+
+def _entry(host):
+    leaving = host.state == "leaving"
+    return HostEntry(host.host, host.zone, host.region, host.service, host.peer_address, leaving)
+
+
+def _error(error, place=""):
+    field, reason = validation_reason(error)
+    return PlatformError(reason, step="host list", peer=f"{place}{field}")
 
 
 class HostListReader:
@@ -101,6 +136,7 @@
         self._address = address
         self._task = None
         self._readable = None
+        self._invalid = []
         self._tag = ""
 
     async def start(self, kernel):
@@ -137,12 +173,22 @@
         deadline = deadline_after(REQUEST_TIMEOUT_SECONDS)
         response = await client.get(self._address, "/hosts", deadline, headers)
         if response.status == OK:
-            self._members.apply_host_list(parse_host_list(response.body))
+            listed = parse_host_list(response.body)
+            self._members.apply_host_list(listed.entries)
+            self._log_errors(listed.errors)
             self._tag = response.headers.get("Etag", "")
         elif response.status != NOT_MODIFIED:
             raise PlatformError(f"status {response.status}", step="read", peer=self._address)
         self._report(True, "readable")
 
+    def _log_errors(self, errors):
+        """Log the invalid entries, once until others are invalid."""
+        texts = [str(error)[:MAX_REASON_CHARACTERS] for error in errors[:MAX_LOGGED_ERRORS]]
+        former, self._invalid = self._invalid, texts
+        if texts and texts != former:
+            self._metrics.count("foreign_entries")
+            self._events.log_state("foreign entry", key="host list", reason="; ".join(texts))
+
     def _report(self, readable, text):
         if readable != self._readable:
             self._events.state("host list", self._readable, text, self._address)
--- a/caperstack/membership/tests/test_hostlist.py
+++ b/caperstack/membership/tests/test_hostlist.py
@@ -85,6 +85,37 @@
                 self.answer = answer({"hosts": [listed("h")]})
                 self.assertEqual(await self.hosts_read(), ["h"])
 
+    async def test_odd_entry_does_not_hide_the_others(self):
+        """Guards against a node that follows no host any more for one odd entry."""
+        nested = {}
+        for _ in range(500):
+            nested = {"x": nested}
+        odd = {
+            "nested": listed("odd", zone=nested),
+            "nested beside": listed("odd", new=nested) | {"host": ""},
+            "number": listed("odd", zone=10**400),
+            "float": json.loads('{"host": 1e400}'),
+            "port": listed("odd", peer_address="127.0.0.1:99999"),
+            "digits": listed("odd", peer_address="127.0.0.1:" + "9" * 5000),
+            "surrogate": listed("\ud800"),
+            "list": [],
+            "text": "odd",
+            "null": None,
+        }
+        await self.start()
+        for name, entry in odd.items():
+            with self.subTest(name):
+                self.answer = answer({"hosts": [listed("a")]})
+                await self.hosts_read()
+                self.events.log_state.reset_mock()
+                self.answer = answer({"hosts": [listed("a"), entry, listed("b")]})
+                await self.hosts_read()
+                self.assertEqual(await self.hosts_read(), ["a", "b"])
+                kind, reason = self.events.log_state.call_args.args[0], "hosts.1."
+                self.assertEqual(kind, "foreign entry")
+                self.assertIn(reason, self.events.log_state.call_args.kwargs["reason"])
+                self.assertEqual(self.events.log_state.call_count, 1)
+
     async def test_list_without_end_takes_bounded_memory(self):
         """Guards against a host without memory for a list that does not end."""
         for head in (OK + b"\r\n", OK + b"X: "):
