One odd subtree does not end the reading of the others

What callers would see: no change of any team's settings reaches the fleet's readers any more, until they are restarted, for one odd subtree or one revision that is no number.

Cause: the reader compared and stored what it read without a check. A text or a list in place of a revision or a path raised a TypeError that ended its task; a revision of 100 bits could be stored, but not be told to peers; a subtree nested too deeply, or of too many digits, stopped the walk through the index before the subtrees behind it, again and again.

Change: paths and revisions are checked where they are read. A subtree that is none is left out and told once in a `foreign entry` line; the walk goes on.

--- a/caperstack/settings/reader.py
+++ b/caperstack/settings/reader.py
@@ -32,6 +32,13 @@
 #: its peers are silent.
 ROLE_CHECK_SECONDS = 0.5
 
+#: Maximum number of odd subtrees that are remembered, and of characters logged of each.
+MAX_FOREIGN = 200
+MAX_REASON_CHARACTERS = 200
+
+#: Revisions are encoded as signed integers between nodes.
+MAX_REVISION = 2**63 - 1
+
 MAX_VALUE_BYTES = 2 * 1024 * 1024
 
 
@@ -54,6 +61,7 @@
         self._failures = 0
         self._reachable = None
         self._direct_read_at = 0.0
+        self._foreign = {}
         self._task = None
 
     async def start(self, kernel):
@@ -113,27 +121,62 @@
         subtrees = index.get("subtrees")
         if not isinstance(subtrees, dict):
             raise PlatformError("no subtrees in the index", step="index", peer=self._address)
+        revision = index.get("revision", 0)
+        if not _is_revision(revision):
+            raise PlatformError("no revision in the index", step="index", peer=self._address)
         for path in sorted(subtrees):
-            if self._store.wants(path, subtrees[path]):
-                self._apply_subtree(
-                    await self._get(client, f"/v1/subtrees/{quote(path)}", READ_SECONDS)
-                )
-        self._last_revision = max(self._last_revision, index.get("revision", 0))
+            if not (_is_path(path) and _is_revision(subtrees[path])):
+                self._log_foreign(path, "no path or no revision")
+            elif self._store.wants(path, subtrees[path]):
+                await self._read_subtree(client, path)
+        self._last_revision = max(self._last_revision, revision)
         self._failures = 0
         self._record_reachability(True, "readable")
 
-    def _apply_subtree(self, document):
+    async def _read_subtree(self, client, path):
+        """Read and apply one subtree; log it if what is stored is none, and leave it out.
+
+        Notes
+        -----
+        An odd subtree, which another writer may have left, is no reason to follow the others
+        no more.
+        """
+        response = await self._fetch(client, f"/v1/subtrees/{quote(path)}", READ_SECONDS)
         try:
-            path, revision, value = (document[name] for name in ("path", "revision", "value"))
+            document = self._decode(response)
+            stored, revision, value = (document[name] for name in ("path", "revision", "value"))
         except KeyError as error:
-            raise PlatformError("missing", step="subtree", peer=str(error)) from None
-        self._store.take(path, revision, value, "platform")
+            self._log_foreign(path, f"{error} is missing")
+        except PlatformError as error:
+            self._log_foreign(path, error.message)
+        else:
+            if _is_path(stored) and _is_revision(revision):
+                self._store.take(stored, revision, value, "platform")
+            else:
+                self._log_foreign(path, "no path or no revision")
+
+    def _log_foreign(self, path, reason):
+        """Log a subtree that is none, once until it is so for another reason."""
+        path, reason = repr(path)[:MAX_REASON_CHARACTERS], reason[:MAX_REASON_CHARACTERS]
+        if self._foreign.get(path) == reason:
+            return
+        if len(self._foreign) >= MAX_FOREIGN:
+            self._foreign.clear()
+        self._foreign[path] = reason
+        self._metrics.count("foreign_entries")
+        self._events.log_state("foreign entry", key=path, reason=reason)
 
     async def _get(self, client, path, seconds):
+        return self._decode(await self._fetch(client, path, seconds))
+
+    async def _fetch(self, client, path, seconds):
         self._metrics.count("configuration_reads")
         response = await client.get(self._address, path, deadline_after(seconds))
         if response.status not in SUCCESS:
             raise PlatformError(f"status {response.status}", step="read", peer=self._address)
+        return response
+
+    def _decode(self, response):
         document = decode_json(response.body, "read", self._address)
         if not isinstance(document, dict):
             raise PlatformError("not a JSON object", step="read", peer=self._address)
@@ -143,3 +186,13 @@
         if reachable != self._reachable:
             self._events.state("configuration service", self._reachable, text, self._address)
             self._reachable = reachable
+
+
+def _is_path(path):
+    """Return whether `path` can be the path of a subtree: a text that UTF-8 can encode."""
+    return isinstance(path, str) and not any("\ud800" <= char <= "\udfff" for char in path)
+
+
+def _is_revision(revision):
+    """Return whether `revision` is a number that nodes can exchange."""
+    return type(revision) is int and 0 <= revision <= MAX_REVISION
