Tests: odd entries of backend servers in the store affect no others

Reported of other systems: one entry that is nested deeply, with a number too large or a port out of range, ended the machines that read the list, or they stopped to follow it.

Checked here: nesting from 10 to 100,000 levels, as a whole and within known and unknown fields; numbers of 20 to 5,000 digits, beyond the range of floats, and none, in each numeric field and in a duration; ten ports. All such entries were left out, and told as foreign, before this commit; the tests are kept and the product is unchanged.

--- a/caperstack/platform/tests/test_entries.py
+++ b/caperstack/platform/tests/test_entries.py
@@ -155,6 +155,67 @@
         for key in values:
             self.assertIsNotNone(self.entry(key))
 
+    def assert_affects_no_other(self, values):
+        """Assert that none of the `values`, by name, under a key affects the other entries."""
+        for name, value in values.items():
+            with self.subTest(name):
+                self.reset()
+                self.read(valid_entries() | {"servers/x": value})
+                for key in valid_entries():
+                    self.assertEqual(self.entry(key).slots, 8)
+
+    def test_deeply_nested_entry_affects_no_other(self):
+        """Guards against a node that follows the entries no more for one that is nested."""
+        document = json.dumps(server_document(1) | {"new": 0, "info": 1})
+        for depth in (10, 100, 500, 900, 1000, 1100, 5000, 100_000):
+            nested = "[" * depth + "]" * depth
+            objects = '{"a":' * depth + "1" + "}" * depth
+            values = {
+                "whole": nested,
+                "objects": objects,
+                "unknown field": json.dumps(server_document(1) | {"new": 0}).replace(
+                    "0}", nested + "}"
+                ),
+                "known field": document.replace('"info": 1', f'"info": {objects}'),
+                "cut": "[" * depth,
+            }
+            self.assert_affects_no_other(
+                {(name, depth): value.encode() for name, value in values.items()}
+            )
+
+    def test_number_that_is_too_large_affects_no_other(self):
+        """Guards against a node that follows the entries no more for one number."""
+        document = json.dumps(server_document(1))
+        numbers = ("9" * 20, "9" * 400, "9" * 5000, "1e400", "-1e400", "1e-400", "NaN", "Infinity")
+        values = {}
+        for number in numbers:
+            for field in (f'"born": {BORN_MS + 1}', '"slots": 8', '"sequence": 1'):
+                name = field.partition(":")[0]
+                values[name, number[:30]] = document.replace(field, f"{name}: {number}").encode()
+            cold = document.replace('"0ms"', f'"{number}s"')
+            values["coldLeft", number[:30]] = cold.encode()
+        self.assertNotIn(document.encode(), values.values())
+        self.assert_affects_no_other(values)
+
+    def test_port_out_of_range_affects_no_other(self):
+        """Guards against a node that ends as it connects to a port that does not exist."""
+        ports = (
+            "0",
+            "-1",
+            "65536",
+            "99999",
+            "9" * 30,
+            "9" * 5000,
+            "",
+            "8e3",
+            "\u0668\u0660",
+            "80 ",
+        )
+        for port in ports:
+            document = server_document(1, address=f"127.0.0.12:{port}")
+            self.assert_affects_no_other({port[:30]: json.dumps(document).encode()})
+            self.assertIsNone(self.entry("servers/x"))
+
     mutations = st.lists(
         st.tuples(
             st.sampled_from(
