--- a/caperstack/backend/chunks.py
+++ b/caperstack/backend/chunks.py
@@ -1,4 +1,4 @@
-"""Read a body in chunks, with the extensions and the trailers that tornado refuses.
+"""Read chunked bodies, with the chunk extensions and trailers that tornado rejects.
 
 References
 ----------
@@ -34,22 +34,22 @@
 
 
 class ResponseConnection(HTTP1Connection):
-    """A tornado connection that reads chunks as the grammar has them."""
+    """A tornado connection that accepts chunk extensions and trailers."""
 
     async def _read_chunked_body(self, delegate):
-        """Pass the body to `delegate`; the trailers are checked and dropped.
+        """Pass the body to `delegate`; trailers are validated and dropped.
 
         Raises
         ------
         tornado.httputil.HTTPInputError
-            If the bytes are no chunks or no trailers.
+            If a chunk or a trailer is invalid.
         tornado.iostream.StreamClosedError
             If the connection closes before the end, or a line is too long.
 
         Notes
         -----
-        It replaces a method of tornado, which refuses whatever follows the size of a chunk
-        or the last chunk.
+        Overrides a method of tornado that rejects everything after the size of a chunk and
+        after the last chunk.
         """
         count = 0
         while size := _size(await self.stream.read_until(CRLF, MAX_LINE_BYTES)):
@@ -63,7 +63,7 @@
 def _size(line):
     match = _SIZE_LINE.fullmatch(line)
     if match is None:
-        raise HTTPInputError("no size of a chunk")
+        raise HTTPInputError("invalid chunk size")
     return int(match[1], 16)
 
 
--- a/caperstack/backend/collector.py
+++ b/caperstack/backend/collector.py
@@ -92,8 +92,8 @@
         Notes
         -----
         A late response to an earlier request shows the load and the statements of an
-        earlier time; without a rate limit it would withdraw the present one.  A head that
-        is none of HTTP/1.1 shows nothing.
+        earlier time; without a rate limit it would withdraw the present one.  An
+        invalid head is not used at all.
         """
         if self.failure:
             # tornado reads on from what has arrived after an interim head.
--- a/caperstack/calls/grammar.py
+++ b/caperstack/calls/grammar.py
@@ -1,4 +1,4 @@
-"""Check responses against the grammar of HTTP/1.1, where tornado does not.
+"""Validate responses against the grammar of HTTP/1.1, where tornado does not.
 
 tornado checks the form of the status line and of each field as it parses a head, and the
 framing only as it begins to read a body.
@@ -20,7 +20,7 @@
     "head_flaw",
 ]
 
-#: Statuses of HTTP.  A status line with any other three digits is no response.
+#: Statuses of HTTP; the grammar alone allows any three digits.
 STATUSES = range(100, 600)
 
 #: Statuses of interim responses, which precede the response proper.
@@ -40,7 +40,7 @@
 LENGTH = "Content-Length"
 CODING = "Transfer-Encoding"
 
-#: What a field is called, and what its value and a reason consist of.
+#: Names of fields, and values of fields and reason phrases.
 NAME_PATTERN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 TEXT_PATTERN = re.compile(r"[\t -~\x80-\xff]*")
 
@@ -52,7 +52,7 @@
 
 
 def head_flaw(start_line, headers, has_body):
-    """Return why a parsed head is none of HTTP/1.1; empty if it is one.
+    """Return why a parsed head is not valid; empty if it is.
 
     Parameters
     ----------
@@ -69,31 +69,31 @@
 def _flaws(start_line, headers, has_body):
     code = start_line.code
     if code not in STATUSES:
-        yield f"status {code:03} is none of HTTP"
+        yield f"status {code:03} is not an HTTP status"
     if code == SWITCHING_PROTOCOLS:
-        yield "switch to a protocol that was not asked for"
+        yield "protocol switch that was not requested"
     if LENGTH in headers:
         if not LENGTHS_PATTERN.fullmatch(headers[LENGTH]):
-            yield "length is unclear"
+            yield "invalid Content-Length"
         elif code == NO_CONTENT and declared_length(headers):
-            yield "length of a body that the status excludes"
+            yield "Content-Length of a 204 response"
     if CODING in headers:
         yield from _coding_flaws(start_line, headers, has_body)
 
 
 def _coding_flaws(start_line, headers, has_body):
     if start_line.version == "HTTP/1.0":
-        yield "transfer coding of a version that has none"
+        yield "Transfer-Encoding in HTTP/1.0"
     if start_line.code == NO_CONTENT:
-        yield "transfer coding of a body that the status excludes"
+        yield "Transfer-Encoding of a 204 response"
     if LENGTH in headers:
-        yield "both a length and a transfer coding"
+        yield "both Content-Length and Transfer-Encoding"
     if has_body and headers[CODING].lower() != "chunked":
-        yield "transfer coding that was not asked for"
+        yield "Transfer-Encoding that was not requested"
 
 
 def declared_length(headers):
-    """Return the length that a head without a flaw declares, in bytes; ``None`` if it has none.
+    """Return the length that a valid head declares, in bytes; ``None`` if it declares none.
 
     Returns
     -------
@@ -108,7 +108,7 @@
 
 
 def answer_flaw(status, reason, headers):
-    """Return why a response that another node has read is none; empty if it is one.
+    """Return why a response that another node has read is not valid; empty if it is.
 
     Parameters
     ----------
@@ -120,10 +120,10 @@
         The fields.
     """
     if status not in FINAL_STATUSES:
-        return f"status {status:03} is none of an answer"
+        return f"status {status:03} is not that of a final response"
     if not TEXT_PATTERN.fullmatch(reason):
-        return "reason with control bytes"
+        return "invalid reason phrase"
     for name, value in headers:
         if not NAME_PATTERN.fullmatch(name) or not TEXT_PATTERN.fullmatch(value):
-            return "field that the grammar does not allow"
+            return "invalid header field"
     return ""
--- a/caperstack/documents.py
+++ b/caperstack/documents.py
@@ -30,7 +30,7 @@
 
 
 class DocumentClient:
-    """Get documents; whatever is no answer of HTTP/1.1 is an error of one kind.
+    """Get documents; any invalid response raises the same kind of error.
 
     Parameters
     ----------
@@ -69,7 +69,7 @@
         Raises
         ------
         PlatformError
-            If there is no response in time, or what came is none.
+            If there is no valid response in time.
         """
         heads = _HeadChecks()
         seconds = max(MIN_SECONDS, time_left(deadline))
@@ -89,7 +89,7 @@
             request.add_done_callback(_retrieve_exception)
             response = await asyncio.shield(request)
         except Exception as error:
-            # The kind of error depends on the part of the library that what came breaks.
+            # An invalid response may raise almost any error in the library.
             reason = str(error) or type(error).__name__
             raise PlatformError(reason, step="read", peer=address) from None
         flaw = heads.flaw()
@@ -99,13 +99,13 @@
 
 
 class _HeadChecks:
-    """Check the heads of one response, interim ones too, from their lines."""
+    """Validate the heads of one response, including interim ones, from their lines."""
 
     def __init__(self):
         self._heads = []
 
     def take(self, line):
-        """Take a line; no field is called as a status line begins."""
+        """Take a line; no field name can start like a status line."""
         line = line.rstrip("\r\n")
         if line.startswith("HTTP/"):
             version, code, reason = line.split(" ", 2)
@@ -114,13 +114,13 @@
             self._heads[-1][1].parse_line(line)
 
     def flaw(self):
-        """Return why the response is none; empty if it is one."""
+        """Return why the response is not valid; empty if it is."""
         flaws = (head_flaw(s, h, s.code not in BODYLESS_STATUSES) for s, h in self._heads)
         return next(filter(None, flaws), "")
 
 
 def decode_json(body, step, peer):
-    """Return what the JSON text `body` of a document stands for.
+    """Return the decoded JSON `body` of a document.
 
     Raises
     ------
--- a/caperstack/membership/hostlist.py
+++ b/caperstack/membership/hostlist.py
@@ -26,10 +26,9 @@
 
 REQUEST_TIMEOUT_SECONDS = 2.0
 
-#: Maximum size of a list, in bytes; one of 1,100 hosts has 150 kB.
+#: Maximum size of a list, in bytes.
 MAX_LIST_BYTES = 4 * 1024 * 1024
 
-
 #: Maximum number of invalid entries that a log line names, and of characters for each.
 MAX_LOGGED_ERRORS = 5
 MAX_REASON_CHARACTERS = 200
@@ -58,7 +57,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HostList:
-    """The entries of a host list, and why others of its entries are invalid.
+    """The valid entries of a host list, and the errors of the others.
 
     Attributes
     ----------
@@ -83,12 +82,11 @@
     Raises
     ------
     PlatformError
-        If `body` is no host list; ``peer`` names the invalid field.
+        If `body` is not a host list; ``peer`` names the invalid field.
 
     Notes
     -----
-    An invalid entry, which another writer may have left, is no reason to follow the others
-    no more.
+    Another writer may leave an invalid entry.  The other entries are applied all the same.
     """
     try:
         listed = _HostList.model_validate(decode_json(body, "host list", ""))
--- a/caperstack/settings/reader.py
+++ b/caperstack/settings/reader.py
@@ -32,7 +32,7 @@
 #: its peers are silent.
 ROLE_CHECK_SECONDS = 0.5
 
-#: Maximum number of odd subtrees that are remembered, and of characters logged of each.
+#: Maximum number of invalid subtrees that are remembered, and of characters logged of each.
 MAX_FOREIGN = 200
 MAX_REASON_CHARACTERS = 200
 
@@ -126,7 +126,7 @@
             raise PlatformError("no revision in the index", step="index", peer=self._address)
         for path in sorted(subtrees):
             if not (_is_path(path) and _is_revision(subtrees[path])):
-                self._log_foreign(path, "no path or no revision")
+                self._log_foreign(path, "invalid path or revision")
             elif self._store.wants(path, subtrees[path]):
                 await self._read_subtree(client, path)
         self._last_revision = max(self._last_revision, revision)
@@ -134,12 +134,11 @@
         self._record_reachability(True, "readable")
 
     async def _read_subtree(self, client, path):
-        """Read and apply one subtree; log it if what is stored is none, and leave it out.
+        """Read and apply one subtree, or log that it is invalid.
 
         Notes
         -----
-        An odd subtree, which another writer may have left, is no reason to follow the others
-        no more.
+        Another writer may leave an invalid subtree.  The others are applied all the same.
         """
         response = await self._fetch(client, f"/v1/subtrees/{quote(path)}", READ_SECONDS)
         try:
@@ -153,10 +152,10 @@
             if _is_path(stored) and _is_revision(revision):
                 self._store.take(stored, revision, value, "platform")
             else:
-                self._log_foreign(path, "no path or no revision")
+                self._log_foreign(path, "invalid path or revision")
 
     def _log_foreign(self, path, reason):
-        """Log a subtree that is none, once until it is so for another reason."""
+        """Log an invalid subtree, once until the reason changes."""
         path, reason = repr(path)[:MAX_REASON_CHARACTERS], reason[:MAX_REASON_CHARACTERS]
         if self._foreign.get(path) == reason:
             return
