The stand-in of the store writes to no closed connection; one bound of digits

The bound on the digits of a length stood in `calls.dialect` already. Two names of one letter are spelt out, and a request that is told "not run" at the end says why. Behaviour of the product and assertions are the same.

--- a/caperstack/callers/exchange.py
+++ b/caperstack/callers/exchange.py
@@ -122,7 +122,10 @@
         self._done()
 
     def give_up(self):
-        """Respond now, because the process ends before the call."""
+        """Respond now, because the process ends before the call.
+
+        A request whose handling has not begun has certainly not run.
+        """
         if self._task is None or self._responded:
             return
         self._task.cancel()
--- a/caperstack/calls/grammar.py
+++ b/caperstack/calls/grammar.py
@@ -12,6 +12,8 @@
 import math
 import re
 
+from caperstack.calls.dialect import MAX_DIGITS
+
 __all__ = [
     "BODYLESS_STATUSES",
     "INTERIM_STATUSES",
@@ -47,9 +49,6 @@
 #: A length, or a list of lengths, as intermediaries make it of a field that occurs twice.
 LENGTHS_PATTERN = re.compile(r"([0-9]+)(?:[ \t]*,[ \t]*\1)*")
 
-#: Number of digits beyond which a length is larger than any body, without leading zeros.
-MAX_DIGITS = 18
-
 
 def head_flaw(start_line, headers, has_body):
     """Return why a parsed head is not valid; empty if it is.
--- a/caperstack/documents.py
+++ b/caperstack/documents.py
@@ -115,7 +115,10 @@
 
     def flaw(self):
         """Return why the response is not valid; empty if it is."""
-        flaws = (head_flaw(s, h, s.code not in BODYLESS_STATUSES) for s, h in self._heads)
+        flaws = (
+            head_flaw(start_line, headers, start_line.code not in BODYLESS_STATUSES)
+            for start_line, headers in self._heads
+        )
         return next(filter(None, flaws), "")
 
 
--- a/caperstack/platform/standin/store.py
+++ b/caperstack/platform/standin/store.py
@@ -199,8 +199,10 @@
         elif not status:
             status, document = self._read(request)
         if document is None or faults.raw:
-            request.connection.stream.write(faults.raw)
-            request.connection.stream.close()
+            stream = request.connection.stream
+            if faults.raw and not stream.closed():
+                stream.write(faults.raw)
+            stream.close()
             return
         body = json.dumps(document).encode()
         headers = HTTPHeaders({"Content-Length": str(len(body)), STORE_ERA_HEADER: str(self.era)})
