One subtree whose request fails does not hide those behind it

What callers would see: no change of the settings of any team whose path sorts behind the failing one reaches the fleet's readers, for as long as that request fails.

Cause: a walk through the index ends at the first request that fails, be it for its status, an invalid or too long response, or none in time, and the next walk begins with the same path.

Evidence: a stand-in of the service fails two of four subtrees (404, 500, status 000, a length above the limit, a cut head, an unfinished body).

Ruled out: to leave the failed subtree out and go on, as the revision read would advance and its change would be lost; to go on and fail at the end, as each subtree would take its whole timeout from a service that hangs.

Change: paths whose requests have failed come last in the next walk. What failed is still retried, with the same delays.

--- a/caperstack/settings/reader.py
+++ b/caperstack/settings/reader.py
@@ -62,6 +62,7 @@
         self._reachable = None
         self._direct_read_at = 0.0
         self._foreign = {}
+        self._failed = set()
         self._task = None
 
     async def start(self, kernel):
@@ -124,7 +125,9 @@
         revision = index.get("revision", 0)
         if not _is_revision(revision):
             raise PlatformError("no revision in the index", step="index", peer=self._address)
-        for path in sorted(subtrees):
+        self._failed &= subtrees.keys()
+        # A failed request ends the walk, so paths whose requests have failed come last.
+        for path in sorted(subtrees, key=lambda path: (path in self._failed, path)):
             if not (_is_path(path) and _is_revision(subtrees[path])):
                 self._log_foreign(path, "invalid path or revision")
             elif self._store.wants(path, subtrees[path]):
@@ -140,7 +143,12 @@
         -----
         Another writer may leave an invalid subtree.  The others are applied all the same.
         """
-        response = await self._fetch(client, f"/v1/subtrees/{quote(path)}", READ_SECONDS)
+        try:
+            response = await self._fetch(client, f"/v1/subtrees/{quote(path)}", READ_SECONDS)
+        except PlatformError:
+            self._failed.add(path)
+            raise
+        self._failed.discard(path)
         try:
             document = self._decode(response)
             stored, revision, value = (document[name] for name in ("path", "revision", "value"))
--- a/caperstack/settings/tests/test_reader.py
+++ b/caperstack/settings/tests/test_reader.py
@@ -15,6 +15,7 @@
 
 ROUTES = {"routes": [{"path": "/a", "service": "s"}]}
 NESTED = b"[" * 100_000 + b"]" * 100_000
+UNFINISHED = b"Content-Length: 9\r\n\r\n"
 
 
 def subtree(path, revision, value=ROUTES):
@@ -47,8 +48,11 @@
             path = "subtrees"
         body = self.documents.get(path.rstrip("/"), b"{}")
         body = body if isinstance(body, bytes) else json.dumps(body).encode()
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
-        writer.close()
+        if not body.startswith(b"HTTP/"):
+            body = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+        writer.write(body)
+        if not body.endswith(UNFINISHED):
+            writer.close()
 
     def write(self, revision, revisions, **documents):
         """Set the index, with `revisions` by path, and further documents."""
@@ -91,6 +95,30 @@
         self.assertEqual({line["key"] for line in lines}, {"'b'"})
         self.assertGreater(len({line["reason"] for line in lines}), 4)
 
+    async def test_subtree_whose_request_fails_does_not_hide_the_others(self):
+        """Guards against a node that follows no settings any more for one failed request."""
+        self.enterContext(mock.patch.object(reader, "READ_SECONDS", 0.5))
+        failures = {
+            "not found": b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
+            "error": b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n",
+            "no status": b"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+            "too long": b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n",
+            "cut off": b"HTTP/1.1 200 OK\r\nContent-Le",
+            "unfinished": b"HTTP/1.1 200 OK\r\n" + UNFINISHED,
+        }
+        await self.start()
+        for number, (name, response) in enumerate(failures.items(), 1):
+            with self.subTest(name):
+                revisions = dict.fromkeys("abcd", number)
+                others = {f"subtrees/{path}": subtree(path, number) for path in "ac"}
+                failing = {f"subtrees/{path}": response for path in "bd"}
+                self.write(number, revisions, **others, **failing)
+                await self.applied("a", number)
+                await self.applied("c", number)
+                self.assertNotEqual(self.store.revisions.get("b"), number)
+                self.documents["subtrees/b"] = subtree("b", number)
+                await self.applied("b", number)
+
     async def test_odd_entry_of_the_index_does_not_hide_the_others(self):
         """Guards against a node whose reading ends for one odd revision."""
         await self.start()
