The stand-in of a backend server counts requests when they arrive

Cause: a fault of the stand-in. It dated a request when its event loop read it, and counted the requests of the last second at that moment. If the test process pauses for over 0.05 s while the owner sends, requests that came in one second and in the next are read within one. The rule counts what was sent and arrived inside a second. A pause also hid requests: what was read late was compared with the second before the reading.

Ruled out: more starts than the limit allows. The owner of the restarted node began 0.99 s after the kill of the former one, 1.03 s after its last call.

Change: the kernel notes on the socket when bytes arrive, and the stand-in dates requests by that; it counts every second around an arrival, as requests aren't always read in order. The soak counts windows by the same function.

--- a/caperstack/platform/standin/instance.py
+++ b/caperstack/platform/standin/instance.py
@@ -5,11 +5,11 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, ResponseStartLine
 
 from caperstack.clock import now, time_left
 from caperstack.platform.names import DIALECT, SERVER_SEAL_HEADER
+from caperstack.platform.standin.arrival import ArrivalServer, max_in_window
 
 __all__ = ["Behaviour", "Run", "StandinInstance"]
 
@@ -108,7 +108,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Run:
-    """A request that ran: its id and target, when it started, and where."""
+    """A request that ran: its id and target, when it arrived, and where."""
 
     name: str
     at: float
@@ -167,7 +167,7 @@
     async def start(self):
         """Listen at the address."""
         self._tasks = set()
-        self._server = HTTPServer(self._accept, idle_connection_timeout=3600)
+        self._server = ArrivalServer(self._accept, idle_connection_timeout=3600)
         ip, port = self.address.rsplit(":", 1)
         self._server.listen(int(port), ip)
 
@@ -215,7 +215,7 @@
             self.misdirected += 1
             self._write(request, 421, b"", {})
         else:
-            self.arrivals.append(now())
+            self.arrivals.append(request.connection.stream.arrived_at)
             if self.behaviour.refuse:
                 self._write(request, 503, b"", {DIALECT.not_executed: "1"})
             else:
@@ -224,9 +224,10 @@
     async def _run(self, request):
         request_id = request.headers.get(DIALECT.request_id, "")
         self.runs[request_id] += 1
-        self.ledger.append(Run(request_id, now(), self.name, self.service, request.uri))
+        at = request.connection.stream.arrived_at
+        self.ledger.append(Run(request_id, at, self.name, self.service, request.uri))
         headers = dict(request.headers.get_all())
-        if self._is_overloaded():
+        if self._is_overloaded(at):
             self.overloaded += 1
             self.on_crash(self, "")
             return
@@ -248,18 +249,20 @@
         else:
             self._answer(request)
 
-    def _is_overloaded(self):
-        """Return whether the cold server got more requests in the last second than it tolerates."""
+    def _is_overloaded(self, at):
+        """Return whether the cold server got more requests in a second around `at` than it bears.
+
+        Requests are not always read in the order in which they arrived.
+        """
         if now() >= self.behaviour.cold_until or not self.behaviour.cold_bears:
             return False
-        return (
-            self.runs_since(max(self.behaviour.cold_since, now() - 1.0)) > self.behaviour.cold_bears
-        )
-
-    def runs_since(self, since):
-        """Return how many requests this instance started to run after the time `since`."""
-        recent = itertools.takewhile(lambda run: run.at > since, reversed(self.ledger))
-        return sum(1 for run in recent if run.instance == self.name)
+        recent = itertools.takewhile(lambda run: run.at > at - 2.0, reversed(self.ledger))
+        times = [
+            run.at
+            for run in recent
+            if run.instance == self.name and run.at > self.behaviour.cold_since
+        ]
+        return max_in_window(times, 1.0) > self.behaviour.cold_bears
 
     def _answer(self, request):
         behaviour = self.behaviour
--- a/caperstack/soak/checks.py
+++ b/caperstack/soak/checks.py
@@ -1,9 +1,9 @@
 """Check the guarantees of the nodes against what callers and backend servers saw."""
 
-from bisect import bisect_left
 from collections import Counter, defaultdict
 from itertools import pairwise
 
+from caperstack.platform.standin.arrival import max_in_window
 from caperstack.soak.client import (
     BROKEN_OFF,
     CONNECTION_CLOSED,
@@ -163,12 +163,9 @@
     for period in state.rate_limits:
         since = _rate_limit_known_at(state, period)
         host = next(host for host in state.fleet.hosts if host.ip == period.host)
-        times = sorted(run.at for run in host.instance.ledger if since <= run.at < period.end)
+        times = (run.at for run in host.instance.ledger if since <= run.at < period.end)
         allowed = MAX_RATE_FACTOR * period.per_second * RATE_WINDOW_SECONDS + RATE_SLACK
-        most = max(
-            (bisect_left(times, at + RATE_WINDOW_SECONDS) - i for i, at in enumerate(times)),
-            default=0,
-        )
+        most = max_in_window(times, RATE_WINDOW_SECONDS)
         if most > allowed:
             yield f"{period.host} got {most} at {period.per_second} per second"
 
