Simulated fleets are freed before tests with real nodes

Cause: the fleets of 300 hosts that test_growth and test_suspect_growth simulate end as some 800,000 objects in cycles. The garbage collector frees them at any later time, which pauses the test process, and with it the stand-ins of the real nodes of whatever test runs by then.

Change: both modules collect when their last test has ended. No test changes.

--- a/caperstack/platform/tests/test_growth.py
+++ b/caperstack/platform/tests/test_growth.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import gc
 import random
 import sys
 import unittest
@@ -16,6 +17,11 @@
 SIZES = (30, 100, 300)
 
 
+def tearDownModule():
+    """Free the simulated fleets, whose collection would pause later tests with real nodes."""
+    gc.collect()
+
+
 async def _measure_bytes_per_node(size):
     """Return the bytes per node for a start, one change, twenty changes and a restart."""
     random.seed(size)
--- a/caperstack/platform/tests/test_suspect_growth.py
+++ b/caperstack/platform/tests/test_suspect_growth.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import gc
 import random
 import unittest
 
@@ -22,6 +23,11 @@
 MAX_MESSAGES_PER_NODE = 16
 
 
+def tearDownModule():
+    """Free the simulated fleets, whose collection would pause later tests with real nodes."""
+    gc.collect()
+
+
 async def _measure_suspicions(size):
     """Report three crashes in a fleet of `size` hosts and return what the nodes sent and know.
 
