A connection that the server will close carries no further request

Callers saw: nothing reported. It is lost there, and a caller whose request is not idempotent is told that its outcome is unknown though nothing ran.

Cause: only a `Connection` field that was "close" and nothing else counted, and the version didn't. tornado judges neither on the client's side.

Ruled out: that the look at the socket before each request suffices. It sees a close that has arrived, not one that is on its way.

Change: RFC 9112, 9.3: the options of all `Connection` fields, "close" before "keep-alive"; HTTP/1.0 persists only with "keep-alive".

--- a/caperstack/backend/connection.py
+++ b/caperstack/backend/connection.py
@@ -201,8 +201,7 @@
         if collector.has_body and not collector.framed:
             self._check_unframed(collector)
         headers = collector.headers
-        if headers.get("Connection", "").lower() == "close":
-            self._reusable = False
+        self._reusable = self._reusable and _persists(collector.start, headers)
         self._idle_until = deadline_after(_idle_seconds(headers.get("Keep-Alive", "")))
         self.idle_since = now()
         return collector.answer()
@@ -264,6 +263,22 @@
             self.close()
 
 
+def _persists(start, headers):
+    """Return whether the server keeps the connection open after a response (RFC 9112, 9.3).
+
+    Parameters
+    ----------
+    start : tornado.httputil.ResponseStartLine
+        Status line of the response.
+    headers : tornado.httputil.HTTPHeaders
+        Headers of the response.
+    """
+    options = {option.strip().lower() for option in headers.get("Connection", "").split(",")}
+    if "close" in options:
+        return False
+    return start.version != "HTTP/1.0" or "keep-alive" in options
+
+
 def _idle_seconds(keep_alive):
     """Return for how many seconds an idle connection may be reused.
 
--- a/caperstack/backend/tests/test_broken.py
+++ b/caperstack/backend/tests/test_broken.py
@@ -110,6 +110,36 @@
         await self.assert_answers({"of 1.1": b"HTTP/1.1" + coded})
 
 
+class TestPersistence(AnswerCase):
+    """Whether the connection carries another request, by version and ``Connection`` field."""
+
+    async def count_connections(self, head):
+        """Return how many connections two requests need that the server answers with `head`."""
+        await self.client.stop()
+        self.server._reply = self.reply_and_stay
+        self.answer = head + BODY
+        before = self.client.opened
+        for _ in range(2):
+            self.assertEqual((await self.client.fetch(make_call())).body, b"ok")
+        return self.client.opened - before
+
+    async def test_connection_that_the_server_will_close_is_not_used_again(self):
+        """Guards against requests that are lost, run or not, on a connection about to close."""
+        heads = [OK + b"Connection: " + v for v in (b"close", b"Close", b"close, x", b"x ,close")]
+        heads += [OK + b"Connection: x\r\nConnection: close", b"HTTP/1.0 200 OK\r\nX: y"]
+        heads += [b"HTTP/1.0 200 OK\r\nConnection: " + v for v in (b"close, keep-alive", b"x")]
+        for head in heads:
+            with self.subTest(head):
+                self.assertEqual(await self.count_connections(head + b"\r\n"), 2)
+
+    async def test_connection_that_stays_open_is_used_again(self):
+        heads = (OK, OK + b"Connection: keep-alive\r\n", OK + b"Connection: closed, x\r\n")
+        heads += (b"HTTP/1.0 200 OK\r\nConnection: x, Keep-Alive\r\n", b"HTTP/1.9 200 OK\r\n")
+        for head in heads:
+            with self.subTest(head):
+                self.assertEqual(await self.count_connections(head), 1)
+
+
 class TestReason(AnswerCase):
     """The reason at the end of the status line."""
 
