Documents in chunks may have extensions and trailers

Change: the client for documents reads chunks through the same connection as the one to backend servers; it moves to `calls`, as both use it, and now holds to the limit of its parameters, which tornado's reader did.

Measured: 6 subtests of the new test failed before, all pass; broken ones stay errors.

--- a/caperstack/backend/connection.py
+++ b/caperstack/backend/connection.py
@@ -8,9 +8,9 @@
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
-from caperstack.backend.chunks import ResponseConnection
 from caperstack.backend.collector import ExpectedResponse, ResponseCollector
 from caperstack.backend.stream import BackendStream
+from caperstack.calls.chunks import ResponseConnection
 from caperstack.calls.dialect import is_whole_number
 from caperstack.clock import deadline_after, now
 from caperstack.exception import BackendError
--- a/caperstack/backend/tests/test_broken.py
+++ b/caperstack/backend/tests/test_broken.py
@@ -3,10 +3,10 @@
 import asyncio
 import unittest
 
-from caperstack.backend.chunks import CHUNKS_PER_TURN
 from caperstack.backend.client import BackendClient
 from caperstack.backend.tests.servers import RawServer
 from caperstack.backend.tests.test_unframed import make_call
+from caperstack.calls.chunks import CHUNKS_PER_TURN
 from caperstack.calls.dialect import Dialect
 from caperstack.clock import deadline_after
 from caperstack.exception import BackendError
--- a/caperstack/backend/chunks.py
+++ b/caperstack/calls/chunks.py
@@ -42,7 +42,8 @@
         Raises
         ------
         tornado.httputil.HTTPInputError
-            If a chunk or a trailer is invalid.
+            If a chunk or a trailer is invalid, or the body is larger than the connection's
+            parameters allow.
         tornado.iostream.StreamClosedError
             If the connection closes before the end, or a line is too long.
 
@@ -51,8 +52,11 @@
         Overrides a method of tornado that rejects everything after the size of a chunk and
         after the last chunk.
         """
-        count = 0
+        count = total = 0
         while size := _size(await self.stream.read_until(CRLF, MAX_LINE_BYTES)):
+            total += size
+            if total > self.params.max_body_size:
+                raise HTTPInputError("body is too large")
             await _read_chunk(self.stream, size, delegate)
             count += 1
             if count % CHUNKS_PER_TURN == 0:
--- a/caperstack/documents.py
+++ b/caperstack/documents.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass
 
 from tornado.httputil import HTTPHeaders, ResponseStartLine
-from tornado.simple_httpclient import SimpleAsyncHTTPClient
+from tornado.simple_httpclient import SimpleAsyncHTTPClient, _HTTPConnection
 
+from caperstack.calls.chunks import ResponseConnection
 from caperstack.calls.grammar import BODYLESS_STATUSES, head_flaw
 from caperstack.clock import time_left
 from caperstack.exception import PlatformError
@@ -44,7 +45,7 @@
     """
 
     def __init__(self, max_bytes):
-        self._client = SimpleAsyncHTTPClient(force_instance=True, max_body_size=max_bytes)
+        self._client = _ChunkClient(force_instance=True, max_body_size=max_bytes)
 
     def close(self):
         """Close the client and abort its requests."""
@@ -98,6 +99,19 @@
         return Document(response.code, response.headers, response.body)
 
 
+class _ChunkClient(SimpleAsyncHTTPClient):
+    """tornado's client, with chunks that are read by `ResponseConnection`."""
+
+    def _connection_class(self):
+        return _ChunkConnection
+
+
+class _ChunkConnection(_HTTPConnection):
+    def _create_connection(self, stream):
+        connection = super()._create_connection(stream)
+        return ResponseConnection(stream, True, connection.params, connection.context)
+
+
 class _HeadChecks:
     """Validate the heads of one response, including interim ones, from their lines."""
 
--- a/caperstack/membership/tests/test_hostlist.py
+++ b/caperstack/membership/tests/test_hostlist.py
@@ -118,8 +118,12 @@
 
     async def test_list_without_end_takes_bounded_memory(self):
         """Guards against a host without memory for a list that does not end."""
-        for head in (OK + b"\r\n", OK + b"X: "):
-            self.answer, self.repeated = head, bytes(64 * 1024)
+        block = bytes(64 * 1024)
+        chunked = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+        chunk = b"10000\r\n" + block + b"\r\n"
+        answers = ((OK + b"\r\n", block), (OK + b"X: ", block), (chunked, chunk))
+        answers += ((chunked + b"f" * 16 + b"\r\n", block),)
+        for self.answer, self.repeated in answers:
             tracemalloc.start()
             self.addCleanup(tracemalloc.stop)
             await self.reader._try_to_read(await self.client())
--- a/caperstack/platform/tests/test_broken_store.py
+++ b/caperstack/platform/tests/test_broken_store.py
@@ -24,6 +24,13 @@
 BODY = with_body(json.dumps(PAGE).encode())
 
 
+def in_chunks(extension=b"", trailers=b""):
+    """Return a response whose body comes in two chunks, with what may stand beside them."""
+    page = json.dumps(PAGE).encode()
+    chunks = b"".join(b"%x%s\r\n%s\r\n" % (len(p), extension, p) for p in (page[:9], page[9:]))
+    return OK + b"Transfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n" + trailers + b"\r\n"
+
+
 class TestBrokenAnswers(unittest.IsolatedAsyncioTestCase):
     """A store that sends the bytes of `answer` and closes; reads and watches must go on."""
 
@@ -63,6 +70,8 @@
                 "length and coding": OK + b"Transfer-Encoding: chunked\r\n" + BODY,
                 "coding of 1.0": b"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                 b"%x\r\n%s\r\n0\r\n\r\n" % (len(json.dumps(PAGE)), json.dumps(PAGE).encode()),
+                "extension": in_chunks(extension=b";a b"),
+                "trailer": in_chunks(trailers=b"X Y: 1\r\n"),
                 "short": OK + BODY[:-1],
                 "nothing": b"",
                 "no HTTP": b"\0\r\n\r\n",
@@ -101,6 +110,15 @@
             for request in self.requests():
                 self.assertEqual((await request).revision, 5)
 
+    async def test_chunks_with_extensions_and_trailers_are_read(self):
+        """Guards against a store that no node can read for what is beside the body."""
+        parts = ((b"", b""), (b"; a=b", b""), (b"", b"X: y\r\n"), (b';a="b"', b"X:\r\nY: z\r\n"))
+        for extension, trailers in parts:
+            self.answer = in_chunks(extension, trailers)
+            for request in self.requests():
+                with self.subTest((extension, trailers), request=request.__name__):
+                    self.assertEqual((await request).revision, 5)
+
 
 if __name__ == "__main__":
     unittest.main()
