The line of an unreadable configuration service names the subtree that failed

Callers saw: nothing; operators saw "read <address>: status 404" for a subtree whose own request fails, as if the whole service couldn't be read.

Change: the step of the error names the subtree, cut to the length of reasons. Measured: the new test failed before with "read <address>: status 404".

--- a/caperstack/settings/reader.py
+++ b/caperstack/settings/reader.py
@@ -145,9 +145,10 @@
         """
         try:
             response = await self._fetch(client, f"/v1/subtrees/{quote(path)}", READ_SECONDS)
-        except PlatformError:
+        except PlatformError as error:
             self._failed.add(path)
-            raise
+            step = f"read subtree {path!r}"[:MAX_REASON_CHARACTERS]
+            raise PlatformError(error.message, step=step, peer=self._address) from None
         self._failed.discard(path)
         try:
             document = self._decode(response)
--- a/caperstack/settings/tests/test_reader.py
+++ b/caperstack/settings/tests/test_reader.py
@@ -119,6 +119,20 @@
                 self.documents["subtrees/b"] = subtree("b", number)
                 await self.applied("b", number)
 
+    async def test_log_names_the_subtree_whose_request_fails(self):
+        """Guards against a fault of one subtree that looks like one of the whole service."""
+        not_found = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+        documents = {"subtrees/a": subtree("a", 1), "subtrees/b": not_found}
+        self.write(1, {"a": 1, "b": 1}, **documents)
+        await self.start()
+        reasons = []
+        async with asyncio.timeout(5.0):
+            while not reasons:
+                await asyncio.sleep(0.01)
+                lines = [call.args for call in self.events.state.call_args_list]
+                reasons = [line[2] for line in lines if line[0] == "configuration service"]
+        self.assertRegex(reasons[0], "'b'.* status 404")
+
     async def test_odd_entry_of_the_index_does_not_hide_the_others(self):
         """Guards against a node whose reading ends for one odd revision."""
         await self.start()
