One function counts what comes within a window

Callers saw: nothing. The tests of stated rates counted by an expression of their own what max_in_window counts for the cold stand-in and the soak, with the same ends of the window.

--- a/caperstack/platform/tests/test_statements.py
+++ b/caperstack/platform/tests/test_statements.py
@@ -4,6 +4,7 @@
 
 from caperstack.clock import now
 from caperstack.platform.names import DIALECT
+from caperstack.platform.standin.arrival import max_in_window
 from caperstack.platform.tests.fleetcase import FleetCase
 
 
@@ -71,11 +72,8 @@
 
     def most_arrivals(self, host, since):
         """Return the highest number of requests in any window that begins after `since`."""
-        times = [at for at in host.instance.arrivals if at >= since]
-        return max(
-            (sum(first <= at < first + self.window_seconds for at in times) for first in times),
-            default=0,
-        )
+        times = (at for at in host.instance.arrivals if at >= since)
+        return max_in_window(times, self.window_seconds)
 
     def assert_rate_kept(self, host, rate, since):
         allowed = 1.5 * rate * self.window_seconds + 5
