--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -44,6 +44,10 @@
         self._lines = []
         self._began = time.monotonic()
 
+    @property
+    def began(self):
+        return self._began
+
     def add(self, *words):
         self._lines.append(f"{time.monotonic() - self._began:9.3f} " + " ".join(map(str, words)))
 
@@ -483,6 +487,7 @@
             self.register(upstream)
             node = Node(self._directory.name, ip, upstream.zone, upstream, self.store.address,
                         ports, await self.app_address(upstream))
+            self.adjust(node)
             self.nodes.append(node)
         for node in self.nodes:
             await node.start()
@@ -495,6 +500,9 @@
         """Return where the node reaches its upstream."""
         return upstream.address
 
+    def adjust(self, node):
+        """Change the settings of a node before it starts."""
+
     def register(self, upstream):
         self.store.put(f"servers/{upstream.name}", upstream.entry())
 
