--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -13,11 +13,11 @@
 import shlex
 import signal
 import socket
-import sys
 import tempfile
 import time
 import tomllib
 from pathlib import Path
+from urllib.parse import parse_qs, urlsplit
 
 ROOT = Path(__file__).resolve().parents[2]
 
@@ -145,8 +145,6 @@
             writer.close()
 
     async def _answer(self, target):
-        from urllib.parse import parse_qs, urlsplit
-
         parts = urlsplit(target)
         query = {name: values[-1] for name, values in parse_qs(parts.query).items()}
         prefix = query.get("prefix", "")
@@ -516,10 +514,6 @@
         for upstream in self.upstreams:
             upstream.close()
         self.store.close()
-        logs = os.environ.get("KEEP_LOGS")
-        if logs:
-            import shutil
-            shutil.copytree(self._directory.name, logs, dirs_exist_ok=True)
         self._directory.cleanup()
 
     def new_id(self):
@@ -534,7 +528,23 @@
     return {"Host": "x.example", "X-Request-Id": request_id, "X-Deadline-Ms": deadline_ms}
 
 
-def fail_if_not_built():
+def run_case(main):
+    """Run the coroutine function `main` and return the exit status; 2 if it could not run.
+
+    SIGTERM and SIGINT cancel it, so that it ends the processes that it has started.
+    """
     if not (ROOT / "target/deps").is_dir():
-        print("target/deps is missing: run the build of deploy/system.toml first")
-        sys.exit(2)
+        print("could not run: target/deps is missing, run the build of deploy/system.toml first")
+        return 2
+
+    async def cancellable():
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await main()
+
+    try:
+        return asyncio.run(cancellable())
+    except (Exception, asyncio.CancelledError) as error:
+        print(f"could not run: {type(error).__name__}: {error}")
+        return 2
